--- /dev/null
+++ b/internal/commander/daemons.go
@@ -0,0 +1,118 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/controller"
+	"radishshed.example/radishshed/internal/imitator"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/router"
+)
+
+type settingsOption struct {
+	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
+}
+
+// load reads the settings and opens the log.
+func (o settingsOption) load(role configurer.Role) (configurer.Settings, *zap.Logger, error) {
+	settings, err := configurer.Load(o.Settings, role)
+	if err != nil {
+		return settings, nil, mistake{err}
+	}
+	log, err := recorder.NewLog(os.Stderr, settings.LogLevel(), settings.VM(), settings.DataCentre())
+	return settings, log, err
+}
+
+type routerCommand struct {
+	command
+	settingsOption
+}
+
+// Execute implements flags.Commander.
+func (c *routerCommand) Execute([]string) error {
+	settings, log, err := c.load(configurer.Router{})
+	if err != nil {
+		return err
+	}
+	r, err := router.New(router.Config{Settings: settings, Log: log})
+	if err != nil {
+		return err
+	}
+	return ended(log, r.Run(c.ctx))
+}
+
+type controlCommand struct {
+	command
+	settingsOption
+	Init bool `long:"init" description:"make the data folder that of the first member of a new fleet, and exit"`
+}
+
+// Execute implements flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	settings, log, err := c.load(configurer.Control{})
+	if err != nil {
+		return err
+	}
+	if c.Init {
+		return controller.Init(settings.DataFolder(), settings.VM())
+	}
+	control, err := controller.New(controller.Config{Settings: settings, Log: log})
+	if err != nil {
+		return err
+	}
+	return ended(log, control.Run(c.ctx))
+}
+
+// ended logs the end of a daemon. Being stopped is not an error.
+func ended(log *zap.Logger, err error) error {
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	log.Info("ended", zap.Error(err))
+	return err
+}
+
+type targetCommand struct {
+	command
+	Name       string        `long:"name" required:"true" description:"name of the target"`
+	Address    string        `long:"address" required:"true" value-name:"HOST:PORT" description:"where the target serves"`
+	DataCentre string        `long:"data-centre" required:"true" description:"data centre of the target"`
+	Routers    []string      `long:"router" required:"true" value-name:"HOST:PORT" description:"caller address of a router to announce to; may be repeated"`
+	KeyFile    string        `long:"key-file" required:"true" value-name:"FILE" description:"file with the target's key"`
+	Services   []string      `long:"service" required:"true" description:"service that the target serves; may be repeated"`
+	Capacity   int64         `long:"capacity" default:"8" description:"requests that run at the same time"`
+	TokenTime  time.Duration `long:"token-time" default:"2ms" description:"time for one token while one request runs"`
+	ReportLag  time.Duration `long:"report-lag" default:"0s" description:"how old the reported load is"`
+}
+
+// Execute implements flags.Commander.
+func (c *targetCommand) Execute([]string) error {
+	key, err := os.ReadFile(c.KeyFile)
+	if err != nil {
+		return mistake{errors.Wrap(err, "--key-file")}
+	}
+	log, err := recorder.NewLog(os.Stderr, "", c.Name, c.DataCentre)
+	if err != nil {
+		return err
+	}
+	return imitator.New(imitator.Config{
+		Name:       c.Name,
+		Address:    c.Address,
+		DataCentre: c.DataCentre,
+		Routers:    c.Routers,
+		Key:        strings.TrimSpace(string(key)),
+		Services:   c.Services,
+		Capacity:   c.Capacity,
+		TokenTime:  c.TokenTime,
+		ReportLag:  c.ReportLag,
+		Crash:      func() { os.Exit(exitFailed) },
+		Log:        log,
+	}).Run(c.ctx)
+}
--- /dev/null
+++ b/internal/commander/load.go
@@ -0,0 +1,94 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/loader"
+)
+
+const maxProblemsShown = 20
+
+type loadCommand struct {
+	command
+	fleetOption
+	Mix    string `short:"m" long:"mix" required:"true" value-name:"FILE" description:"JSON file that describes what to send"`
+	Verify string `long:"verify" value-name:"TITLE" description:"compare with the accounts of the fleet, and end with a line that begins with the title"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	mix, err := loader.LoadMix(c.Mix)
+	if err != nil {
+		return mistake{err}
+	}
+	l := loader.New(loader.Config{Mix: mix, Progress: os.Stderr})
+	report := l.Run(c.ctx)
+	if c.JSON {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		c.print("%s\n", data)
+	} else {
+		c.printReport(report)
+	}
+	if c.Verify == "" {
+		return nil
+	}
+	return c.verify(l, report)
+}
+
+func (c *loadCommand) printReport(report *loader.Report) {
+	table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	line := command{out: table}
+	line.print("work\tsent\tserved\tlate\tbroken\twrong\tfirst p50 ms\tfirst p95 ms\tp50 ms\tp99 ms\trefused\n")
+	for _, t := range report.Tallies {
+		line.print("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", t.Name, t.Sent, t.Served, t.Late, t.Broken, t.Wrong,
+			t.FirstMs["p50"], t.FirstMs["p95"], t.TookMs["p50"], t.TookMs["p99"], formatCounts(t.Refused))
+	}
+	_ = table.Flush() // nothing can be done about a closed output
+	c.print("%.1f s\n", report.Seconds)
+}
+
+func formatCounts(counts map[string]int) string {
+	var parts []string
+	for name, count := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", name, count))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+func (c *loadCommand) verify(l *loader.Loader, report *loader.Report) error {
+	fleet, err := c.load()
+	if err != nil {
+		return err
+	}
+	v, err := l.Verify(c.ctx, report, fleet)
+	if err != nil {
+		return err
+	}
+	for i, problem := range v.Problems {
+		if i == maxProblemsShown {
+			c.print("and %d more\n", len(v.Problems)-i)
+			break
+		}
+		c.print("problem: %s\n", problem)
+	}
+	verdict := "ok"
+	if len(v.Problems) > 0 || v.Overspend > 0 || v.Served == 0 {
+		verdict = "FAILED"
+	}
+	c.print("%s: %d served, %d billed, %d refused, overspend %d, %s\n", c.Verify, v.Served, v.Billed, v.Refused, v.Overspend, verdict)
+	if verdict != "ok" {
+		return errors.New("the fleet did not keep its promises")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/committer/committer.go
@@ -0,0 +1,410 @@
+// Package committer commits what a router does to control: intents before
+// requests are sent, settlements after they have ended, and draws on budgets.
+//
+// Whatever waits at the same time shares a batch. Everything in a batch takes
+// effect once however often it arrives, so a batch whose answer was lost is sent
+// again, to another control VM if need be.
+package committer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/pkg/coordination/allotter"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+)
+
+const (
+	tickInterval       = time.Second
+	keepAliveTicks     = 10
+	callTimeout        = 2 * time.Second
+	retryDelay         = 50 * time.Millisecond
+	maxBatchesInFlight = 4
+	maxOpeningsInBatch = 512
+	maxClosingsInBatch = 512
+)
+
+// ErrNoControl means that no control VM could commit in time. What was to be
+// committed may or may not have been.
+var ErrNoControl = errors.New("control cannot be reached")
+
+// Caller sends a call to a control VM. It is what the committer needs of links.
+type Caller interface {
+	// CallControl calls the control VM with the given name, or any if the name
+	// is empty or that VM has no live link.
+	CallControl(ctx context.Context, vm string, kind uint8, body []byte) ([]byte, error)
+}
+
+// Config configures a committer.
+type Config struct {
+	// Process is the router process. Required.
+	Process identifier.Process
+	// Caller sends the batches. Required.
+	Caller Caller
+	// Allotter holds the router's grants. Required.
+	Allotter *allotter.Allotter
+	// Replaced is called if a newer incarnation of this VM has registered.
+	// Required.
+	Replaced func(reason string)
+	// Log receives events. Required.
+	Log *zap.Logger
+	// Metrics receives batchesSent, batchesFailed and closingsQueued. Required.
+	Metrics metrics.Registry
+}
+
+type opening struct {
+	opening applier.Opening
+	outcome chan applier.OpeningOutcome
+	ctx     context.Context
+}
+
+// Committer commits to control. It is safe for concurrent use.
+type Committer struct {
+	config Config
+	wake   chan struct{}
+	failed metrics.Counter
+	sent   metrics.Counter
+
+	mutex    sync.Mutex
+	openings []*opening
+	closings []applier.Closing
+	draws    map[string]bookkeeper.Draw
+	urgent   bool
+	inFlight int
+	leaderVM string
+	drawn    chan struct{} // closed when grants have arrived
+	flushed  chan struct{} // closed when no closing is left
+
+	sequence    uint64
+	open        map[uint64]bool
+	closedBelow uint64
+	unacked     int
+}
+
+// New returns a committer. Run makes it send.
+func New(config Config) *Committer {
+	return &Committer{
+		config:      config,
+		wake:        make(chan struct{}, 1),
+		failed:      metrics.GetOrRegisterCounter("batchesFailed", config.Metrics),
+		sent:        metrics.GetOrRegisterCounter("batchesSent", config.Metrics),
+		draws:       map[string]bookkeeper.Draw{},
+		drawn:       make(chan struct{}),
+		flushed:     make(chan struct{}),
+		open:        map[uint64]bool{},
+		closedBelow: 1,
+	}
+}
+
+// NewRequest returns the identifier of a new request. It must be passed to
+// Close or Abandon in the end.
+func (c *Committer) NewRequest() identifier.Request {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.sequence++
+	c.open[c.sequence] = true
+	return identifier.NewRequest(c.config.Process, c.sequence)
+}
+
+// Abandon forgets a request for which Open was never called.
+func (c *Committer) Abandon(request identifier.Request) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.forget(request)
+}
+
+func (c *Committer) forget(request identifier.Request) {
+	if request.Router() != c.config.Process {
+		return // settled on behalf of a router that has ended
+	}
+	delete(c.open, request.Sequence())
+	for c.closedBelow <= c.sequence && !c.open[c.closedBelow] {
+		c.closedBelow++
+	}
+}
+
+// Open commits an opening. After ErrNoControl the opening may still take
+// effect, so the request must be closed as unrun.
+func (c *Committer) Open(ctx context.Context, o applier.Opening) (applier.OpeningOutcome, error) {
+	pending := &opening{o, make(chan applier.OpeningOutcome, 1), ctx}
+	c.mutex.Lock()
+	c.openings = append(c.openings, pending)
+	c.mutex.Unlock()
+	c.urge()
+	select {
+	case outcome := <-pending.outcome:
+		return outcome, nil
+	case <-ctx.Done():
+		return nil, ErrNoControl
+	}
+}
+
+// Close commits a closing in the background, however long that takes.
+func (c *Committer) Close(closing applier.Closing) {
+	c.mutex.Lock()
+	c.closings = append(c.closings, closing)
+	c.unacked++
+	c.mutex.Unlock()
+	c.urge()
+}
+
+// Draw asks for what waiting requests want and waits for the next answer.
+func (c *Committer) Draw(ctx context.Context) error {
+	c.mutex.Lock()
+	c.urgent = true
+	drawn := c.drawn
+	c.mutex.Unlock()
+	c.urge()
+	select {
+	case <-drawn:
+		return nil
+	case <-ctx.Done():
+		return ErrNoControl
+	}
+}
+
+// Urge makes the committer report wants and surpluses at once.
+func (c *Committer) Urge() {
+	c.mutex.Lock()
+	c.urgent = true
+	c.mutex.Unlock()
+	c.urge()
+}
+
+// Flush waits until all closings have been committed.
+func (c *Committer) Flush(ctx context.Context) error {
+	for {
+		c.mutex.Lock()
+		unacked, flushed := c.unacked, c.flushed
+		c.mutex.Unlock()
+		if unacked == 0 {
+			return nil
+		}
+		select {
+		case <-flushed:
+		case <-ctx.Done():
+			return errors.Wrapf(ErrNoControl, "%d settlements are not committed", unacked)
+		}
+	}
+}
+
+// ReturnGrants gives back everything that is not reserved.
+func (c *Committer) ReturnGrants(ctx context.Context) error {
+	c.mutex.Lock()
+	for _, draw := range c.config.Allotter.ReturnAll() {
+		c.draws[draw.Account()] = draw
+	}
+	drawn, nothing := c.drawn, len(c.draws) == 0
+	c.mutex.Unlock()
+	if nothing {
+		return nil
+	}
+	c.urge()
+	select {
+	case <-drawn:
+		return nil
+	case <-ctx.Done():
+		return ErrNoControl
+	}
+}
+
+// Run sends batches until the context ends.
+func (c *Committer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for ticks := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			ticks++
+			c.report(c.config.Allotter.Tick(time.Now()))
+		case <-c.wake:
+		}
+		if b := c.collect(ticks >= keepAliveTicks); b != nil {
+			ticks = 0
+			b.ctx = ctx
+			running.Go(b.run)
+		}
+	}
+}
+
+func (c *Committer) urge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Committer) report(draws []bookkeeper.Draw) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, draw := range draws {
+		c.draws[draw.Account()] = draw
+	}
+}
+
+// collect takes what waits into a batch, or returns nil if nothing does.
+func (c *Committer) collect(keepAlive bool) *batch {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.inFlight >= maxBatchesInFlight {
+		return nil // the end of a batch wakes the loop
+	}
+	if c.urgent {
+		c.urgent = false
+		for _, draw := range c.config.Allotter.Urgent() {
+			c.draws[draw.Account()] = draw
+		}
+	}
+	b := &batch{committer: c, leaderVM: c.leaderVM, closedBelow: c.closedBelow}
+	b.openings, c.openings = split(c.openings, maxOpeningsInBatch)
+	closings := min(len(c.closings), maxClosingsInBatch)
+	b.closings, c.closings = c.closings[:closings:closings], c.closings[closings:]
+	for _, draw := range c.draws {
+		b.draws = append(b.draws, draw)
+	}
+	clear(c.draws)
+	if len(b.openings)+len(b.closings)+len(b.draws) == 0 && !keepAlive {
+		return nil
+	}
+	c.inFlight++
+	return b
+}
+
+// split takes up to n openings whose callers still wait.
+func split(openings []*opening, n int) (taken, rest []*opening) {
+	for i, o := range openings {
+		if len(taken) == n {
+			return taken, openings[i:]
+		}
+		if o.ctx.Err() == nil {
+			taken = append(taken, o)
+		}
+	}
+	return taken, nil
+}
+
+// batch is one batch on its way to control.
+type batch struct {
+	committer   *Committer
+	ctx         context.Context
+	leaderVM    string
+	closedBelow uint64
+	openings    []*opening
+	closings    []applier.Closing
+	draws       []bookkeeper.Draw
+}
+
+func (b *batch) run() {
+	result, err := b.send()
+	if err != nil {
+		b.committer.failed.Inc(1)
+		b.committer.config.Log.Debug("batch not committed", zap.Error(err))
+		b.requeue()
+		return
+	}
+	b.committer.sent.Inc(1)
+	b.deliver(result)
+}
+
+func (b *batch) send() (applier.BatchResult, error) {
+	config := applier.BatchConfig{
+		Router:      b.committer.config.Process,
+		Register:    true,
+		ClosedBelow: b.closedBelow,
+		Closings:    b.closings,
+		Draws:       b.draws,
+	}
+	for _, o := range b.openings {
+		config.Openings = append(config.Openings, o.opening)
+	}
+	encoded, err := applier.EncodeBatch(applier.NewBatch(config))
+	if err != nil {
+		return applier.BatchResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
+	defer cancel()
+	data, err := b.committer.config.Caller.CallControl(ctx, b.leaderVM, messenger.Batch, encoded)
+	if err != nil {
+		b.committer.setLeader("")
+		return applier.BatchResult{}, err
+	}
+	answer, err := messenger.DecodeAnswer(data)
+	if err != nil {
+		return applier.BatchResult{}, err
+	}
+	if answer.Redirected() {
+		b.committer.setLeader(answer.LeaderVM())
+		return applier.BatchResult{}, errors.Errorf("redirected to %q", answer.LeaderVM())
+	}
+	result, err := applier.DecodeBatchResult(answer.Body())
+	if err == nil && result.Refusal() == "" && len(result.Openings()) != len(b.openings) {
+		err = errors.New("control answered another number of openings")
+	}
+	return result, err
+}
+
+func (c *Committer) setLeader(vm string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leaderVM = vm
+}
+
+// requeue puts everything back and wakes the loop after a moment. Draws are not
+// put back: newer ones take their place.
+func (b *batch) requeue() {
+	c := b.committer
+	c.mutex.Lock()
+	c.openings = append(b.openings, c.openings...)
+	c.closings = append(b.closings, c.closings...)
+	c.inFlight--
+	c.mutex.Unlock()
+	select {
+	case <-time.After(retryDelay):
+	case <-b.ctx.Done():
+	}
+	for _, draw := range b.draws {
+		if draw.Want() > 0 || draw.Returned() > 0 {
+			c.config.Allotter.Account(draw.Account()).Want(draw.Want())
+		}
+	}
+	c.Urge()
+}
+
+func (b *batch) deliver(result applier.BatchResult) {
+	c := b.committer
+	if result.Refusal() != "" {
+		c.config.Replaced(result.Refusal())
+	}
+	for i, outcome := range result.Openings() {
+		b.openings[i].outcome <- outcome
+	}
+	c.config.Allotter.Apply(result.Grants())
+	c.mutex.Lock()
+	for _, closing := range b.closings {
+		c.forget(closing.Settlement().Intent().Request())
+	}
+	c.unacked -= len(b.closings)
+	if c.unacked == 0 {
+		close(c.flushed)
+		c.flushed = make(chan struct{})
+	}
+	if len(b.draws) > 0 {
+		close(c.drawn)
+		c.drawn = make(chan struct{})
+	}
+	c.inFlight--
+	c.mutex.Unlock()
+	c.urge()
+}
--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,295 @@
+// Package configurer reads and checks the settings of a process.
+//
+// Settings are a JSON file. Nothing else sets them: no environment variable and
+// no flag. Each mistake gives one line that names the file, the field and what
+// to do.
+package configurer
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/state/archiver"
+)
+
+const (
+	defaultDrainNotice = 5 * time.Second
+	minKeyBytes        = 16
+)
+
+// Settings are the checked settings of a process.
+type Settings struct {
+	vm               string
+	dataCentre       string
+	linkAddress      string
+	operatorAddress  string
+	callerAddress    string
+	controlAddresses []string
+	dataFolder       string
+	fleetKey         []byte
+	operatorHashes   [][32]byte
+	serverTLS        *tls.Config
+	clientTLS        *tls.Config
+	logLevel         string
+	drainNotice      time.Duration
+}
+
+// VM returns the name of this VM.
+func (s Settings) VM() string { return s.vm }
+
+// DataCentre returns the data centre that this VM is in.
+func (s Settings) DataCentre() string { return s.dataCentre }
+
+// LinkAddress returns where links from other processes are accepted.
+func (s Settings) LinkAddress() string { return s.linkAddress }
+
+// OperatorAddress returns where operators and the platform are served.
+func (s Settings) OperatorAddress() string { return s.operatorAddress }
+
+// CallerAddress returns where callers and targets are served. Routers only.
+func (s Settings) CallerAddress() string { return s.callerAddress }
+
+// ControlAddresses returns the link addresses of all control VMs.
+func (s Settings) ControlAddresses() []string { return s.controlAddresses }
+
+// DataFolder returns the folder of the durable state. Control VMs only.
+func (s Settings) DataFolder() string { return s.dataFolder }
+
+// FleetKey returns the secret that all processes of the fleet share.
+func (s Settings) FleetKey() []byte { return s.fleetKey }
+
+// Operators returns the operators that are admitted whatever tickets say, so
+// that somebody can submit the first one.
+func (s Settings) Operators() archiver.Credentials {
+	return archiver.NewCredentials(s.operatorHashes, nil)
+}
+
+// ServerTLS returns the TLS configuration of the listeners, or nil.
+func (s Settings) ServerTLS() *tls.Config { return s.serverTLS }
+
+// ClientTLS returns the TLS configuration for dialling other processes, or nil.
+func (s Settings) ClientTLS() *tls.Config { return s.clientTLS }
+
+// LogLevel returns the lowest level that is logged.
+func (s Settings) LogLevel() string { return s.logLevel }
+
+// DrainNotice returns for how long a process that shuts down goes on taking new
+// work, so that the platform's balancer can stop sending it.
+func (s Settings) DrainNotice() time.Duration { return s.drainNotice }
+
+type jsonTLS struct {
+	CertificateFile string `json:"certificateFile" validate:"required"`
+	KeyFile         string `json:"keyFile" validate:"required"`
+	AuthorityFile   string `json:"authorityFile" validate:"required"`
+}
+
+type jsonSettings struct {
+	VM                string   `json:"vm" validate:"required,hostname_rfc1123"`
+	DataCentre        string   `json:"dataCentre" validate:"required"`
+	DataCentres       []string `json:"dataCentres" validate:"required,unique"`
+	LinkAddress       string   `json:"linkAddress" validate:"required,hostname_port"`
+	OperatorAddress   string   `json:"operatorAddress" validate:"required,hostname_port"`
+	CallerAddress     string   `json:"callerAddress,omitempty" validate:"omitempty,hostname_port"`
+	ControlAddresses  []string `json:"controlAddresses" validate:"required,unique,dive,hostname_port"`
+	DataFolder        string   `json:"dataFolder,omitempty"`
+	FleetKeyFile      string   `json:"fleetKeyFile" validate:"required"`
+	OperatorKeyHashes []string `json:"operatorKeyHashes,omitempty"`
+	TLS               *jsonTLS `json:"tls,omitempty"`
+	LogLevel          string   `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	DrainNotice       string   `json:"drainNotice,omitempty"`
+}
+
+// mends says what to do about a failed rule of the validator.
+var mends = map[string]string{
+	"required":         "is missing: set it",
+	"hostname_rfc1123": "is not a host name: use letters, digits and hyphens",
+	"hostname_port":    `is not an address: use the form "10.0.0.1:7000"`,
+	"unique":           "names something twice: keep one",
+	"oneof":            "is not a level: use debug, info, warn or error",
+}
+
+// Role is the kind of process that the settings are for. It is sealed: Router
+// and Control are its only variants.
+type Role interface{ isRole() }
+
+// Router is a process that serves callers.
+type Router struct{}
+
+// Control is a process that keeps the durable state.
+type Control struct{}
+
+func (Router) isRole()  {}
+func (Control) isRole() {}
+
+// Load reads and checks the settings for a process of the given role.
+func Load(path string, role Role) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Errorf("%s: cannot be read: %v", path, errors.Cause(err))
+	}
+	w, err := decode(data)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, path)
+	}
+	s, err := check(w, role, filepath.Dir(path))
+	return s, errors.Wrap(err, path)
+}
+
+func decode(data []byte) (jsonSettings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var w jsonSettings
+	if err := decoder.Decode(&w); err != nil {
+		if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+			return w, errors.Errorf("%s: unknown field: remove it or correct its name", strings.Trim(field, `"`))
+		}
+		return w, errors.Errorf("not valid JSON settings: %v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return w, errors.New("remove what follows the closing brace")
+	}
+	return w, validate(w)
+}
+
+func validate(w jsonSettings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	err := v.Struct(w)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return err
+	}
+	failure := failures[0]
+	_, field, _ := strings.Cut(failure.Namespace(), ".")
+	return errors.Errorf("%s: %s", field, mends[failure.Tag()])
+}
+
+func check(w jsonSettings, role Role, folder string) (Settings, error) {
+	s := Settings{
+		vm:               w.VM,
+		dataCentre:       w.DataCentre,
+		linkAddress:      w.LinkAddress,
+		operatorAddress:  w.OperatorAddress,
+		callerAddress:    w.CallerAddress,
+		controlAddresses: w.ControlAddresses,
+		logLevel:         w.LogLevel,
+		drainNotice:      defaultDrainNotice,
+	}
+	if !contains(w.DataCentres, w.DataCentre) {
+		return s, errors.Errorf("dataCentre: %q is not in dataCentres %v: correct one of them", w.DataCentre, w.DataCentres)
+	}
+	if err := s.checkRole(w, role, folder); err != nil {
+		return s, err
+	}
+	var err error
+	if w.DrainNotice != "" {
+		if s.drainNotice, err = time.ParseDuration(w.DrainNotice); err != nil || s.drainNotice < 0 {
+			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
+		}
+	}
+	if s.fleetKey, err = readKey(resolve(folder, w.FleetKeyFile)); err != nil {
+		return s, errors.Wrap(err, "fleetKeyFile")
+	}
+	if s.operatorHashes, err = archiver.ParseHashes(w.OperatorKeyHashes); err != nil {
+		return s, errors.Wrap(err, "operatorKeyHashes")
+	}
+	if w.TLS != nil {
+		if err := s.loadTLS(*w.TLS, folder); err != nil {
+			return s, errors.Wrap(err, "tls")
+		}
+	}
+	return s, nil
+}
+
+func (s *Settings) checkRole(w jsonSettings, role Role, folder string) error {
+	switch role.(type) {
+	case Router:
+		if w.CallerAddress == "" {
+			return errors.New("callerAddress: is missing: a router needs one")
+		}
+	case Control:
+		if w.DataFolder == "" {
+			return errors.New("dataFolder: is missing: a control VM needs one")
+		}
+		s.dataFolder = resolve(folder, w.DataFolder)
+		return checkWritable(s.dataFolder)
+	default:
+		panic(fmt.Sprintf("configurer: unknown role %T", role))
+	}
+	return nil
+}
+
+// checkWritable creates the folder if need be and writes a file in it.
+func checkWritable(folder string) error {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return errors.Errorf("dataFolder: %s cannot be created: %v: choose another or change its owner", folder, err)
+	}
+	probe, err := os.CreateTemp(folder, "probe")
+	if err != nil {
+		return errors.Errorf("dataFolder: %s cannot be written: choose another or change its owner", folder)
+	}
+	_ = probe.Close() // nothing was written
+	return errors.Wrap(os.Remove(probe.Name()), "dataFolder")
+}
+
+func readKey(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Errorf("%s cannot be read: create it with `radishshed key`", path)
+	}
+	key := bytes.TrimSpace(data)
+	if len(key) < minKeyBytes {
+		return nil, errors.Errorf("%s has fewer than %d characters: create it with `radishshed key`", path, minKeyBytes)
+	}
+	return key, nil
+}
+
+func (s *Settings) loadTLS(w jsonTLS, folder string) error {
+	certificate, err := tls.LoadX509KeyPair(resolve(folder, w.CertificateFile), resolve(folder, w.KeyFile))
+	if err != nil {
+		return errors.Wrap(err, "certificateFile and keyFile")
+	}
+	authority, err := os.ReadFile(resolve(folder, w.AuthorityFile))
+	if err != nil {
+		return errors.Wrap(err, "authorityFile")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return errors.Errorf("authorityFile: %s holds no certificate", w.AuthorityFile)
+	}
+	s.serverTLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	s.clientTLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return nil
+}
+
+// resolve makes a path in the settings relative to the settings file.
+func resolve(folder, path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(folder, path)
+}
+
+func contains(list []string, item string) bool {
+	for _, candidate := range list {
+		if candidate == item {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,316 @@
+// Package controller is the daemon of a control VM: a member of the replicated
+// log that holds tickets, the ledger and claims.
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/journaler"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+// callTimeout bounds the handling of a call of a router.
+const callTimeout = 5 * time.Second
+
+// Config configures a controller.
+type Config struct {
+	// Settings are the settings of the process. Required.
+	Settings configurer.Settings
+	// Log receives events. Required.
+	Log *zap.Logger
+}
+
+// Controller is the daemon of a control VM.
+type Controller struct {
+	settings    configurer.Settings
+	log         *zap.Logger
+	member      identifier.Process
+	metrics     metrics.Registry
+	timeline    *recorder.Timeline
+	endpoint    *linker.Endpoint
+	spreader    *disseminator.Spreader
+	replication *replication
+	inputs      chan<- input
+	contacts    *contacts
+
+	configuration atomic.Pointer[archiver.Configuration]
+	status        atomic.Pointer[status]
+	stopping      atomic.Bool
+}
+
+// New opens the data folder and returns a controller that is not running yet.
+func New(config Config) (*Controller, error) {
+	folder := config.Settings.DataFolder()
+	if _, err := lock(folder); err != nil {
+		return nil, err
+	}
+	member, err := loadIdentity(folder, config.Settings.VM())
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		settings: config.Settings,
+		log:      config.Log,
+		member:   member,
+		metrics:  metrics.NewRegistry(),
+		timeline: recorder.NewTimeline(config.Settings.VM()),
+		spreader: disseminator.NewSpreader(disseminator.SpreaderConfig{}),
+		contacts: newContacts(),
+	}
+	c.status.Store(&status{})
+	c.configuration.Store(&archiver.Configuration{})
+	if err := c.openReplication(folder); err != nil {
+		return nil, err
+	}
+	return c, c.openEndpoint()
+}
+
+func (c *Controller) openEndpoint() error {
+	var err error
+	c.endpoint, err = linker.New(linker.Config{
+		Identity:     linker.NewIdentity(c.member, c.settings.DataCentre(), linker.Control, c.settings.LinkAddress()),
+		FleetKey:     c.settings.FleetKey(),
+		Handle:       c.handle,
+		Connected:    c.connected,
+		Disconnected: c.disconnected,
+		TLS:          c.settings.ClientTLS(),
+		Clock:        c.timeline,
+		Log:          c.log,
+		Metrics:      c.metrics,
+	})
+	return err
+}
+
+func (c *Controller) openReplication(folder string) error {
+	journal, contents, err := journaler.Open(folder)
+	if err != nil {
+		return err
+	}
+	if contents.CutBytes() > 0 {
+		c.log.Warn("torn tail of the journal cut", zap.Int64("bytes", contents.CutBytes()))
+	}
+	recovered, err := replicator.Recover(contents.Snapshot(), contents.Records())
+	if err != nil {
+		return err
+	}
+	replica, err := replicator.New(replicator.Config{Self: c.member, Recovered: recovered, Random: rand.IntN})
+	if err != nil {
+		return err
+	}
+	state, err := applier.Restore(applier.Config{}, recovered.Snapshot.Data())
+	if err != nil {
+		return err
+	}
+	inputs := make(chan input, inputQueue)
+	c.inputs = inputs
+	c.replication = &replication{
+		log:          c.log,
+		replica:      replica,
+		journal:      journal,
+		state:        state,
+		send:         c.sendReplicate,
+		applied:      c.applied,
+		publish:      func(s status) { c.status.Store(&s) },
+		inputs:       inputs,
+		proposals:    map[uint64]pendingProposal{},
+		queries:      map[uint64]queryInput{},
+		appliedIndex: recovered.Snapshot.Index(),
+	}
+	c.publishConfiguration(state)
+	c.log.Info("data folder opened",
+		zap.Stringer("member", c.member), zap.Int("records", len(contents.Records())))
+	return nil
+}
+
+// Run serves until the context ends, then shuts down in order: leadership is
+// handed over first, so that the fleet does not have to wait for an election.
+func (c *Controller) Run(ctx context.Context) error {
+	serving, stop := context.WithCancelCause(context.Background())
+	defer stop(nil)
+	listeners, err := c.listen(stop)
+	if err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	running.Go(func() { stop(c.replication.run(serving)) })
+	running.Go(func() { c.spreader.Run(serving) })
+	running.Go(func() { c.runDuties(serving) })
+	c.endpoint.Keep(c.settings.ControlAddresses())
+	select {
+	case <-ctx.Done():
+		c.shutDown()
+	case <-serving.Done():
+	}
+	err = context.Cause(serving)
+	stop(nil)
+	for _, l := range listeners {
+		l.Close()
+	}
+	c.endpoint.Close()
+	running.Wait()
+	return err
+}
+
+func (c *Controller) shutDown() {
+	c.stopping.Store(true)
+	c.log.Info("shutting down")
+	handedOver := time.Now().Add(2 * time.Second)
+	for c.status.Load().role == replicator.Leader && time.Now().Before(handedOver) {
+		if len(c.status.Load().membership.Voters()) == 1 {
+			return
+		}
+		_ = c.changeMembership(context.Background(), func(r *replicator.Replica) error {
+			r.TransferLeadership()
+			return nil
+		}) // tried again until it has worked or the time is over
+		time.Sleep(tickInterval)
+	}
+}
+
+// propose commits a command and returns what it led to.
+func (c *Controller) propose(ctx context.Context, command applier.Command) (applier.Result, error) {
+	result := make(chan proposalResult, 1)
+	if err := c.input(ctx, proposalInput{command, result}); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-result:
+		return r.result, r.err
+	case <-ctx.Done():
+		return nil, errInDoubt
+	}
+}
+
+// query reads the state. A confirmed read sees every command that was committed
+// before it began; only the leader can serve it.
+func (c *Controller) query(ctx context.Context, confirmed bool, read func(*applier.State)) error {
+	done := make(chan error, 1)
+	if err := c.input(ctx, queryInput{confirmed, read, done}); err != nil {
+		return err
+	}
+	return wait(ctx, done)
+}
+
+func (c *Controller) changeMembership(ctx context.Context, change func(*replicator.Replica) error) error {
+	done := make(chan error, 1)
+	if err := c.input(ctx, membershipInput{change, done}); err != nil {
+		return err
+	}
+	return wait(ctx, done)
+}
+
+func (c *Controller) input(ctx context.Context, in input) error {
+	select {
+	case c.inputs <- in:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "control is busy")
+	}
+}
+
+func wait(ctx context.Context, done <-chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "control is busy")
+	}
+}
+
+// applied runs in the replication goroutine after each command.
+func (c *Controller) applied(state *applier.State, command applier.Command, result applier.Result, own bool) {
+	switch r := result.(type) {
+	case nil:
+		c.publishConfiguration(state)
+	case applier.TicketResult:
+		if _, ok := r.Submission().(archiver.Accepted); ok {
+			c.announceTicket(state)
+		}
+	case applier.BatchResult:
+		if batch, ok := command.(applier.Batch); ok && own {
+			for _, draw := range batch.Draws() {
+				c.recall(state, draw.Account())
+			}
+		}
+	}
+	if lower, ok := command.(applier.Lower); ok && own {
+		c.recall(state, lower.Account())
+	}
+}
+
+func (c *Controller) publishConfiguration(state *applier.State) {
+	current := state.Archive().Current()
+	c.configuration.Store(&current)
+}
+
+func (c *Controller) announceTicket(state *applier.State) {
+	previous := c.configuration.Load().Number()
+	c.publishConfiguration(state)
+	current := c.configuration.Load()
+	ticket, ok := state.Archive().Ticket(current.Number())
+	if !ok {
+		return
+	}
+	c.log.Info("ticket in force", zap.Uint64("number", ticket.Number()))
+	c.timeline.Record(recorder.EventConfig{Name: "ticketInForce", Detail: ticket.Comment()})
+	c.notifyRouters(messenger.NewNews(previous, ticket))
+}
+
+// recall asks the holders of grants to return some if another router is short.
+func (c *Controller) recall(state *applier.State, account string) {
+	if !state.Ledger().Starved(account) || !c.contacts.mayRecall(account, time.Now()) {
+		return
+	}
+	for _, process := range state.Ledger().Holders(account) {
+		peer, connected := c.endpoint.Peer(process)
+		keep, ok := state.Ledger().Keep(process, account)
+		if !connected || !ok {
+			continue
+		}
+		order, err := messenger.EncodeRecall(messenger.NewRecallOrder(account, keep))
+		if err == nil {
+			_ = peer.Notify(messenger.Recall, order) // sent again while the account is short
+		}
+	}
+}
+
+func (c *Controller) listen(failed func(error)) ([]*listener.Listener, error) {
+	links := chi.NewRouter()
+	links.Handle(linker.Path, c.endpoint)
+	var listeners []*listener.Listener
+	for address, handler := range map[string]http.Handler{
+		c.settings.LinkAddress():     links,
+		c.settings.OperatorAddress(): c.operatorRoutes(),
+	} {
+		l, err := listener.Start(listener.Config{
+			Address: address,
+			TLS:     c.settings.ServerTLS(),
+			Handler: handler,
+			Failed:  failed,
+		})
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/internal/controller/duties.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	dutyInterval   = time.Second
+	recallInterval = 20 * time.Millisecond
+	// orphanGrace is how long the last bytes of a router that has ended may
+	// still be on their way to a target.
+	orphanGrace = 5 * time.Second
+	maxOrphans  = 64
+	// minGrantTerm is the shortest silence after which grants are taken back.
+	minGrantTerm = 30 * time.Second
+	// clockDrift is how much slower a router's clock may run over a term.
+	clockDrift = 5 * time.Second
+)
+
+// runDuties does what a control VM has to do now and then.
+func (c *Controller) runDuties(ctx context.Context) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.notifyRouters(messenger.NewNumberNews(c.configuration.Load().Number()))
+		s := c.status.Load()
+		if !s.membership.Has(c.member) {
+			c.join(ctx)
+		}
+		if s.role != replicator.Leader {
+			c.contacts.reset()
+			continue
+		}
+		c.promote(ctx, *s)
+		c.lapse(ctx)
+		c.handOutOrphans(ctx)
+	}
+}
+
+// join asks the leader, whoever it is, to take this member in.
+func (c *Controller) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, dutyInterval)
+	defer cancel()
+	for _, peer := range c.endpoint.Peers() {
+		if peer.Identity().Role() != linker.Control {
+			continue
+		}
+		if _, err := peer.Call(ctx, messenger.Join, nil); err != nil {
+			c.log.Info("join not yet possible", zap.Error(err))
+		}
+	}
+}
+
+// admit takes one step towards having the joiner as a member: an earlier
+// incarnation of its VM goes first, since its disk is lost.
+func admit(r *replicator.Replica, joiner identifier.Process) error {
+	if r.Role() != replicator.Leader {
+		return errNotLeader
+	}
+	m := r.Membership()
+	if m.Has(joiner) {
+		return nil
+	}
+	for _, member := range append(m.Voters(), m.Learners()...) {
+		if member.VM() != joiner.VM() {
+			continue
+		}
+		if member.Incarnation() > joiner.Incarnation() {
+			return errors.Errorf("%s has been replaced by %s", joiner, member)
+		}
+		return r.ChangeMembership(replicator.NewMembership(without(m.Voters(), member), without(m.Learners(), member)))
+	}
+	return r.ChangeMembership(replicator.NewMembership(m.Voters(), append(m.Learners(), joiner)))
+}
+
+// promote makes a learner that has caught up a voter.
+func (c *Controller) promote(ctx context.Context, s status) {
+	for _, learner := range s.membership.Learners() {
+		err := c.changeMembership(ctx, func(r *replicator.Replica) error {
+			m := r.Membership()
+			if !m.Has(learner) || !r.CaughtUp(learner) {
+				return nil
+			}
+			return r.ChangeMembership(replicator.NewMembership(append(m.Voters(), learner), without(m.Learners(), learner)))
+		})
+		if err != nil {
+			c.log.Info("learner not yet promoted", zap.Stringer("member", learner), zap.Error(err))
+		}
+	}
+}
+
+func without(members []identifier.Process, member identifier.Process) []identifier.Process {
+	var others []identifier.Process
+	for _, m := range members {
+		if m != member {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// lapse takes the grants of silent routers back once their term has passed.
+func (c *Controller) lapse(ctx context.Context) {
+	now := time.Now()
+	terms := grantTerms(*c.configuration.Load())
+	var due []applier.Lapse
+	err := c.query(ctx, false, func(s *applier.State) {
+		for _, process := range s.Ledger().Routers() {
+			silence := c.contacts.silence(process, now)
+			if silence < minGrantTerm {
+				continue
+			}
+			for _, account := range s.Ledger().Held(process) {
+				if silence > max(terms[account], minGrantTerm)+clockDrift {
+					due = append(due, applier.NewLapse(process, account))
+				}
+			}
+		}
+	})
+	if err != nil {
+		return // tried again at the next tick
+	}
+	for _, command := range due {
+		if _, err := c.propose(ctx, command); err != nil {
+			return // tried again at the next tick
+		}
+	}
+}
+
+func grantTerms(configuration archiver.Configuration) map[string]time.Duration {
+	terms := map[string]time.Duration{}
+	for _, o := range configuration.Organisations() {
+		for _, b := range o.Budgets() {
+			terms[archiver.AccountName(o.Name(), b.Name())] = b.CutOffSpending()
+		}
+	}
+	return terms
+}
+
+// handOutOrphans asks a router to learn what became of the open requests of
+// routers that have ended.
+func (c *Controller) handOutOrphans(ctx context.Context) {
+	var orphans []bookkeeper.Intent
+	err := c.query(ctx, false, func(s *applier.State) { orphans = s.Ledger().Orphans() })
+	if err != nil || len(orphans) == 0 {
+		return
+	}
+	due := c.contacts.dueOrphans(orphans, time.Now())
+	if len(due) == 0 {
+		return
+	}
+	data, err := messenger.EncodeIntents(due)
+	if err != nil {
+		return
+	}
+	for _, peer := range c.endpoint.Peers() {
+		if peer.Identity().Role() == linker.Router {
+			_ = peer.Notify(messenger.Orphans, data) // handed out again while they are open
+			return
+		}
+	}
+}
+
+// contacts is what a leader remembers of routers outside the replicated log.
+type contacts struct {
+	mutex       sync.Mutex
+	leaderSince time.Time
+	lastHeard   map[identifier.Process]time.Time
+	lastRecall  map[string]time.Time
+	orphanSince map[identifier.Request]time.Time
+}
+
+func newContacts() *contacts {
+	c := &contacts{}
+	c.reset()
+	return c
+}
+
+// reset forgets everything. A new leader does not know when routers were last
+// heard, so it counts every silence from the moment it took over.
+func (c *contacts) reset() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leaderSince = time.Now()
+	c.lastHeard = map[identifier.Process]time.Time{}
+	c.lastRecall = map[string]time.Time{}
+	c.orphanSince = map[identifier.Request]time.Time{}
+}
+
+func (c *contacts) note(process identifier.Process, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lastHeard[process] = now
+}
+
+func (c *contacts) silence(process identifier.Process, now time.Time) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	since := c.leaderSince
+	if heard, ok := c.lastHeard[process]; ok && heard.After(since) {
+		since = heard
+	}
+	return now.Sub(since)
+}
+
+func (c *contacts) mayRecall(account string, now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Sub(c.lastRecall[account]) < recallInterval {
+		return false
+	}
+	c.lastRecall[account] = now
+	return true
+}
+
+// dueOrphans returns the orphans that have been open for the grace time.
+func (c *contacts) dueOrphans(orphans []bookkeeper.Intent, now time.Time) []bookkeeper.Intent {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	since := map[identifier.Request]time.Time{}
+	var due []bookkeeper.Intent
+	for _, orphan := range orphans {
+		first, ok := c.orphanSince[orphan.Request()]
+		if !ok {
+			first = now
+		}
+		since[orphan.Request()] = first
+		if now.Sub(first) >= orphanGrace && len(due) < maxOrphans {
+			due = append(due, orphan)
+		}
+	}
+	c.orphanSince = since
+	return due
+}
--- /dev/null
+++ b/internal/controller/identity.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/journaler"
+)
+
+const identityName = "identity.json"
+
+// jsonIdentity is the file that names the member whose data a folder holds. A
+// VM whose disk was lost has no such file and becomes another member.
+type jsonIdentity struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Init makes the data folder that of the first member of a new fleet. It is
+// called once in the life of a fleet, on one control VM.
+func Init(folder, vm string) error {
+	if _, err := os.Stat(filepath.Join(folder, identityName)); err == nil {
+		return errors.Errorf("%s already holds a member's data: a fleet is initialised once, on one control VM", folder)
+	}
+	member := newMember(vm)
+	journal, _, err := journaler.Open(folder)
+	if err != nil {
+		return err
+	}
+	snapshot, err := replicator.EncodeSnapshot(replicator.Bootstrap(member))
+	if err != nil {
+		return err
+	}
+	if err := journal.Compact(snapshot, nil); err != nil {
+		return err
+	}
+	if err := journal.Close(); err != nil {
+		return err
+	}
+	return writeIdentity(folder, member)
+}
+
+// loadIdentity returns the member whose data the folder holds. An empty folder
+// becomes that of a new member.
+func loadIdentity(folder, vm string) (identifier.Process, error) {
+	data, err := os.ReadFile(filepath.Join(folder, identityName))
+	if os.IsNotExist(err) {
+		member := newMember(vm)
+		return member, writeIdentity(folder, member)
+	}
+	if err != nil {
+		return identifier.Process{}, errors.Wrap(err, "read identity")
+	}
+	var w jsonIdentity
+	if err := json.Unmarshal(data, &w); err != nil {
+		return identifier.Process{}, errors.Wrapf(err, "%s is damaged: restore this VM as one with a lost disk", identityName)
+	}
+	if w.VM != vm {
+		return identifier.Process{}, errors.Errorf("dataFolder: %s belongs to the VM %q and not to %q: correct vm or dataFolder", folder, w.VM, vm)
+	}
+	return identifier.NewProcess(w.VM, w.Incarnation), nil
+}
+
+func newMember(vm string) identifier.Process {
+	return identifier.NewProcess(vm, uint64(time.Now().UnixMilli())<<10|rand.Uint64N(1<<10))
+}
+
+func writeIdentity(folder string, member identifier.Process) error {
+	data, err := json.Marshal(jsonIdentity{member.VM(), member.Incarnation()})
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	temporary := filepath.Join(folder, identityName+".new")
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "create identity")
+	}
+	if _, err := file.Write(data); err != nil {
+		return errors.Wrap(err, "write identity")
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync identity")
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrap(err, "close identity")
+	}
+	if err := os.Rename(temporary, filepath.Join(folder, identityName)); err != nil {
+		return errors.Wrap(err, "rename identity")
+	}
+	dir, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "open folder")
+	}
+	defer func() { _ = dir.Close() }() // read-only handle: nothing can be lost
+	return errors.Wrap(dir.Sync(), "sync folder")
+}
+
+// lock makes sure that one process at a time uses the folder.
+func lock(folder string) (*os.File, error) {
+	file, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open lock")
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close() // nothing was written
+		return nil, errors.Errorf("dataFolder: %s is in use by another process: stop it first", folder)
+	}
+	return file, nil
+}
--- /dev/null
+++ b/internal/controller/links.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+// updatesLink lets the disseminator send over a peer's link.
+type updatesLink struct{ peer *linker.Peer }
+
+func (u updatesLink) SendUpdates(data []byte) error { return u.peer.Notify(messenger.Updates, data) }
+
+func (c *Controller) connected(p *linker.Peer) {
+	c.spreader.Add(updatesLink{p})
+	if p.Identity().Role() == linker.Router {
+		c.notifyNumber(p)
+	}
+}
+
+func (c *Controller) disconnected(p *linker.Peer) { c.spreader.Remove(updatesLink{p}) }
+
+// handle handles what peers send.
+func (c *Controller) handle(ctx context.Context, from *linker.Peer, kind uint8, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	switch kind {
+	case messenger.Replicate:
+		message, err := replicator.DecodeMessage(body)
+		if err != nil {
+			return nil, err
+		}
+		return nil, c.input(ctx, messageInput{message})
+	case messenger.Updates:
+		return nil, c.spreader.Receive(updatesLink{from}, body)
+	case messenger.Batch:
+		return c.handleBatch(ctx, body)
+	case messenger.ConfigurationRequest:
+		return c.handleConfigurationRequest(ctx)
+	case messenger.Join:
+		return c.handleJoin(ctx, from.Identity().Process())
+	default:
+		return nil, errors.Errorf("control does not handle messages of kind %d", kind)
+	}
+}
+
+func (c *Controller) handleBatch(ctx context.Context, body []byte) ([]byte, error) {
+	if c.status.Load().role != replicator.Leader {
+		return c.redirect()
+	}
+	batch, err := applier.DecodeBatch(body)
+	if err != nil {
+		return nil, err
+	}
+	c.contacts.note(batch.Router(), time.Now())
+	result, err := c.propose(ctx, batch)
+	if errors.Is(err, errNotLeader) {
+		return c.redirect()
+	}
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := applier.EncodeBatchResult(result.(applier.BatchResult))
+	if err != nil {
+		return nil, err
+	}
+	return messenger.EncodeAnswer(messenger.NewAnswer(encoded))
+}
+
+// handleConfigurationRequest answers with a configuration that a quorum has
+// confirmed to be the newest, so that a router that starts beside an isolated
+// control VM does not start with an old one.
+func (c *Controller) handleConfigurationRequest(ctx context.Context) ([]byte, error) {
+	var encoded []byte
+	err := c.query(ctx, true, func(s *applier.State) {
+		encoded = archiver.Encode(s.Archive().Current().Flatten())
+	})
+	if errors.Is(err, errNotLeader) {
+		return c.redirect()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return messenger.EncodeAnswer(messenger.NewAnswer(encoded))
+}
+
+func (c *Controller) handleJoin(ctx context.Context, joiner identifier.Process) ([]byte, error) {
+	err := c.changeMembership(ctx, func(r *replicator.Replica) error { return admit(r, joiner) })
+	if errors.Is(err, errNotLeader) {
+		return c.redirect()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return messenger.EncodeAnswer(messenger.NewAnswer(nil))
+}
+
+func (c *Controller) redirect() ([]byte, error) {
+	return messenger.EncodeAnswer(messenger.NewRedirect(c.status.Load().leader.VM()))
+}
+
+func (c *Controller) sendReplicate(m replicator.Message) {
+	peer, ok := c.endpoint.Peer(m.To())
+	if !ok {
+		return // the replica sends again
+	}
+	data, err := replicator.EncodeMessage(m)
+	if err == nil {
+		_ = peer.Notify(messenger.Replicate, data) // the replica sends again
+	}
+}
+
+func (c *Controller) notifyRouters(news messenger.News) {
+	data, err := messenger.EncodeNews(news)
+	if err != nil {
+		return
+	}
+	for _, peer := range c.endpoint.Peers() {
+		if peer.Identity().Role() == linker.Router {
+			_ = peer.Notify(messenger.ConfigurationNews, data) // repeated by the duties
+		}
+	}
+}
+
+func (c *Controller) notifyNumber(p *linker.Peer) {
+	data, err := messenger.EncodeNews(messenger.NewNumberNews(c.configuration.Load().Number()))
+	if err == nil {
+		_ = p.Notify(messenger.ConfigurationNews, data) // repeated by the duties
+	}
+}
--- /dev/null
+++ b/internal/controller/operators.go
@@ -0,0 +1,271 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/operator"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+)
+
+const (
+	maxTicketBytes = 64 << 20
+	// lowerWait is how long a lowered budget waits for grants to come back.
+	lowerWait     = 4 * time.Second
+	lowerInterval = 100 * time.Millisecond
+)
+
+// operatorRoutes serves operators and the platform.
+func (c *Controller) operatorRoutes() http.Handler {
+	routes := chi.NewRouter()
+	operator.Mount(routes, operator.Config{
+		Admits:   c.admitsOperator,
+		Ready:    func() bool { return !c.stopping.Load() && !c.status.Load().leader.IsZero() },
+		Metrics:  c.metrics,
+		Timeline: c.timeline,
+	})
+	routes.Group(func(guarded chi.Router) {
+		guarded.Use(operator.Guard(c.admitsOperator))
+		guarded.Post("/tickets", c.serveSubmit)
+		guarded.Get("/tickets", c.serveTickets)
+		guarded.Get("/tickets/{number}", c.serveTicket)
+		guarded.Get("/accounts/{organisation}", c.serveAccounts)
+		guarded.Get("/status", c.serveStatus)
+	})
+	return routes
+}
+
+func (c *Controller) admitsOperator(hash [32]byte) bool {
+	return c.settings.Operators().AdmitsOperator(hash) || c.configuration.Load().Credentials().AdmitsOperator(hash)
+}
+
+func (c *Controller) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTicketBytes))
+	if err != nil {
+		operator.Fail(w, http.StatusRequestEntityTooLarge, "ticketTooLarge", err.Error())
+		return
+	}
+	ticket, err := archiver.Decode(body)
+	if err != nil {
+		operator.Fail(w, http.StatusUnprocessableEntity, "ticketInvalid", err.Error())
+		return
+	}
+	submission, err := c.submit(r.Context(), ticket)
+	if err != nil {
+		c.failQuery(w, err)
+		return
+	}
+	c.log.Info("ticket submitted", zap.Uint64("number", ticket.Number()), zap.String("outcome", outcomeName(submission)))
+	answerSubmission(w, ticket, submission)
+}
+
+// submit puts the ticket into force. If it lowers budgets, grants are recalled
+// first; what cannot be recalled in time leads to a refusal with the figures.
+func (c *Controller) submit(ctx context.Context, ticket archiver.Ticket) (archiver.Submission, error) {
+	var checked archiver.Submission
+	var lower []applier.Lower
+	deadline := time.Now().Add(lowerWait)
+	for {
+		err := c.query(ctx, true, func(s *applier.State) {
+			checked = s.CheckTicket(ticket)
+			lower = lowered(s, ticket)
+		})
+		if err != nil {
+			return nil, err
+		}
+		if len(lower) == 0 || time.Now().After(deadline) {
+			break
+		}
+		for _, command := range lower {
+			if _, err := c.propose(ctx, command); err != nil {
+				return nil, err
+			}
+		}
+		time.Sleep(lowerInterval)
+	}
+	if _, ok := checked.(archiver.Accepted); !ok {
+		return checked, c.cancelLowering(ctx, lower)
+	}
+	result, err := c.propose(ctx, applier.NewSubmitTicket(ticket))
+	if err != nil {
+		return nil, err
+	}
+	return result.(applier.TicketResult).Submission(), nil
+}
+
+// lowered returns what has to be recalled before the ticket can be accepted.
+func lowered(s *applier.State, ticket archiver.Ticket) []applier.Lower {
+	if _, ok := s.Archive().Check(ticket).(archiver.Accepted); !ok {
+		return nil
+	}
+	var lower []applier.Lower
+	for account, total := range s.Totals(ticket) {
+		statement, err := s.Ledger().Statement(account)
+		if err != nil || s.Ledger().CheckPrepaid(account, total) == nil {
+			continue
+		}
+		if total >= statement.Charged() {
+			lower = append(lower, applier.NewLower(account, total))
+		}
+	}
+	return lower
+}
+
+func (c *Controller) cancelLowering(ctx context.Context, lower []applier.Lower) error {
+	for _, l := range lower {
+		if _, err := c.propose(ctx, applier.NewCancelLowering(l.Account())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func outcomeName(submission archiver.Submission) string {
+	switch submission.(type) {
+	case archiver.Accepted:
+		return "accepted"
+	case archiver.Repeated:
+		return "repeated"
+	case archiver.NumberTaken:
+		return "numberTaken"
+	case archiver.NumberTooLow:
+		return "numberTooLow"
+	default:
+		return "invalid"
+	}
+}
+
+func answerSubmission(w http.ResponseWriter, ticket archiver.Ticket, submission archiver.Submission) {
+	switch s := submission.(type) {
+	case archiver.Accepted, archiver.Repeated:
+		operator.Answer(w, map[string]any{
+			"outcome": outcomeName(s), "number": ticket.Number(), "hash": archiver.Hash(ticket),
+		})
+	case archiver.NumberTaken:
+		operator.Fail(w, http.StatusConflict, "numberTaken",
+			"another ticket with this number is in force; its hash is "+s.Hash())
+	case archiver.NumberTooLow:
+		operator.Fail(w, http.StatusConflict, "numberTooLow",
+			"ticket "+strconv.FormatUint(s.Newest(), 10)+" is in force: use a higher number")
+	case archiver.Invalid:
+		operator.Fail(w, http.StatusUnprocessableEntity, "ticketInvalid", s.Reason())
+	}
+}
+
+func (c *Controller) serveTickets(w http.ResponseWriter, r *http.Request) {
+	type line struct {
+		Number  uint64 `json:"number"`
+		Hash    string `json:"hash"`
+		Comment string `json:"comment"`
+	}
+	lines := []line{}
+	err := c.query(r.Context(), true, func(s *applier.State) {
+		for _, t := range s.Archive().Tickets() {
+			lines = append(lines, line{t.Number(), archiver.Hash(t), t.Comment()})
+		}
+	})
+	if err != nil {
+		c.failQuery(w, err)
+		return
+	}
+	operator.Answer(w, map[string]any{"tickets": lines})
+}
+
+func (c *Controller) serveTicket(w http.ResponseWriter, r *http.Request) {
+	number, err := strconv.ParseUint(chi.URLParam(r, "number"), 10, 64)
+	if err != nil {
+		operator.Fail(w, http.StatusBadRequest, "badNumber", "the ticket's number must be a whole number")
+		return
+	}
+	var ticket archiver.Ticket
+	var inForce archiver.Configuration
+	found := false
+	err = c.query(r.Context(), true, func(s *applier.State) {
+		ticket, found = s.Archive().Ticket(number)
+		inForce, _ = s.Archive().InForceAt(number)
+	})
+	if err != nil {
+		c.failQuery(w, err)
+		return
+	}
+	if !found {
+		operator.Fail(w, http.StatusNotFound, "noSuchTicket", "no ticket with this number was accepted")
+		return
+	}
+	operator.Answer(w, map[string]any{
+		"ticket":  json.RawMessage(archiver.Encode(ticket)),
+		"hash":    archiver.Hash(ticket),
+		"inForce": json.RawMessage(archiver.Encode(inForce.Flatten())),
+	})
+}
+
+func (c *Controller) serveAccounts(w http.ResponseWriter, r *http.Request) {
+	organisation := chi.URLParam(r, "organisation")
+	var statements []bookkeeper.Statement
+	err := c.query(r.Context(), true, func(s *applier.State) {
+		for _, name := range s.Ledger().Accounts() {
+			if operator.OrganisationOf(name) != organisation {
+				continue
+			}
+			if statement, err := s.Ledger().Statement(name); err == nil {
+				statements = append(statements, statement)
+			}
+		}
+	})
+	if err != nil {
+		c.failQuery(w, err)
+		return
+	}
+	if len(statements) == 0 {
+		operator.Fail(w, http.StatusNotFound, "noSuchOrganisation", "no ticket has created a budget of this organisation")
+		return
+	}
+	operator.Answer(w, operator.StatementsToJSON(statements))
+}
+
+func (c *Controller) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	s := c.status.Load()
+	var voters, learners []string
+	for _, p := range s.membership.Voters() {
+		voters = append(voters, p.String())
+	}
+	for _, p := range s.membership.Learners() {
+		learners = append(learners, p.String())
+	}
+	operator.Answer(w, map[string]any{
+		"vm":          c.settings.VM(),
+		"dataCentre":  c.settings.DataCentre(),
+		"process":     c.member.String(),
+		"role":        s.role.String(),
+		"term":        s.term,
+		"leader":      s.leader.VM(),
+		"commitIndex": s.commitIndex,
+		"voters":      voters,
+		"learners":    learners,
+		"ticket":      c.configuration.Load().Number(),
+		"peers":       operator.PeersToJSON(c.endpoint.Peers()),
+		"entries":     operator.EntriesToJSON(c.spreader.Live()),
+	})
+}
+
+// failQuery answers that this control VM could not serve the operator.
+func (c *Controller) failQuery(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errNotLeader):
+		operator.Fail(w, http.StatusMisdirectedRequest, "notLeader", "the leader is "+c.status.Load().leader.VM())
+	case errors.Is(err, errInDoubt):
+		operator.Fail(w, http.StatusServiceUnavailable, "inDoubt", err.Error()+"; submit the same ticket again")
+	default:
+		operator.Fail(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/controller/replication.go
@@ -0,0 +1,358 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/journaler"
+)
+
+// errNotLeader means that another control VM has to be asked.
+var errNotLeader = replicator.ErrNotLeader
+
+// errInDoubt means that a command may or may not have been committed.
+var errInDoubt = errors.New("leadership was lost: the command may or may not take effect")
+
+const (
+	tickInterval      = 100 * time.Millisecond
+	inputQueue        = 4096
+	maxInputsPerFlush = 1024
+	// compactAfterEntries is how many entries are applied between snapshots.
+	compactAfterEntries = 20_000
+	// compactAfterBytes bounds the journal between snapshots.
+	compactAfterBytes = 64 << 20
+)
+
+// input is something that the replication loop handles. It is sealed:
+// messageInput, proposalInput, queryInput and membershipInput are its only
+// variants.
+type input interface{ isInput() }
+
+type messageInput struct{ message replicator.Message }
+
+type proposalInput struct {
+	command applier.Command
+	result  chan<- proposalResult
+}
+
+type queryInput struct {
+	confirmed bool
+	read      func(*applier.State)
+	done      chan<- error
+}
+
+type membershipInput struct {
+	change func(*replicator.Replica) error
+	done   chan<- error
+}
+
+func (messageInput) isInput()    {}
+func (proposalInput) isInput()   {}
+func (queryInput) isInput()      {}
+func (membershipInput) isInput() {}
+
+type proposalResult struct {
+	result applier.Result
+	err    error
+}
+
+type pendingProposal struct {
+	term   uint64
+	result chan<- proposalResult
+}
+
+// status is what other goroutines may know of the replication loop.
+type status struct {
+	role        replicator.Role
+	term        uint64
+	leader      identifier.Process
+	membership  replicator.Membership
+	commitIndex uint64
+}
+
+// replication drives the replica, its journal and the state machine. All three
+// belong to the goroutine in run.
+type replication struct {
+	log     *zap.Logger
+	replica *replicator.Replica
+	journal *journaler.Journal
+	state   *applier.State
+	config  applier.Config
+
+	send    func(replicator.Message)
+	applied func(*applier.State, applier.Command, applier.Result, bool)
+	publish func(status)
+
+	inputs       chan input
+	proposals    map[uint64]pendingProposal
+	queries      map[uint64]queryInput
+	nextQuery    uint64
+	appliedIndex uint64
+	sinceCompact int
+	lastStatus   status
+}
+
+// run handles inputs until the context ends. It returns an error if the journal
+// fails: then nothing that this VM promises can be kept any more.
+func (r *replication) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.replica.Tick()
+		case in := <-r.inputs:
+			r.handle(in)
+			r.drain()
+		}
+		if err := r.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// drain handles what else is queued, so that it shares a sync and a message.
+func (r *replication) drain() {
+	for range maxInputsPerFlush {
+		select {
+		case in := <-r.inputs:
+			r.handle(in)
+		default:
+			return
+		}
+	}
+}
+
+func (r *replication) handle(in input) {
+	switch in := in.(type) {
+	case messageInput:
+		r.replica.Step(in.message)
+	case proposalInput:
+		r.propose(in)
+	case queryInput:
+		r.query(in)
+	case membershipInput:
+		in.done <- in.change(r.replica)
+	}
+}
+
+func (r *replication) propose(in proposalInput) {
+	data, err := applier.EncodeCommand(in.command, time.Now())
+	if err != nil {
+		in.result <- proposalResult{err: err}
+		return
+	}
+	index, term, err := r.replica.Propose(data)
+	if err != nil {
+		in.result <- proposalResult{err: err}
+		return
+	}
+	if old, ok := r.proposals[index]; ok {
+		old.result <- proposalResult{err: errInDoubt}
+	}
+	r.proposals[index] = pendingProposal{term, in.result}
+}
+
+func (r *replication) query(in queryInput) {
+	if !in.confirmed {
+		in.read(r.state)
+		in.done <- nil
+		return
+	}
+	r.nextQuery++
+	if err := r.replica.Read(r.nextQuery); err != nil {
+		in.done <- err
+		return
+	}
+	r.queries[r.nextQuery] = in
+}
+
+// flush makes everything durable, then sends and applies it.
+func (r *replication) flush() error {
+	r.replica.Flush()
+	for {
+		output := r.replica.Take()
+		if err := r.persist(output); err != nil {
+			return err
+		}
+		for _, message := range output.Messages() {
+			r.send(message)
+		}
+		if err := r.apply(output); err != nil {
+			return err
+		}
+		if len(output.Entries()) == 0 && output.Install() == nil {
+			break
+		}
+	}
+	r.publishStatus()
+	return r.compactIfDue()
+}
+
+func (r *replication) persist(output replicator.Output) error {
+	if output.Install() != nil {
+		return r.install(*output.Install())
+	}
+	var records [][]byte
+	if vote := output.Vote(); vote != nil {
+		record, err := replicator.EncodeVote(*vote)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	for _, entry := range output.Entries() {
+		record, err := replicator.EncodeEntry(entry)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	if err := r.journal.Append(records); err != nil {
+		return err
+	}
+	if entries := output.Entries(); len(entries) > 0 {
+		r.replica.Persisted(entries[len(entries)-1].Index())
+	}
+	return nil
+}
+
+// install replaces the state by a snapshot of the leader.
+func (r *replication) install(snapshot replicator.Snapshot) error {
+	state, err := applier.Restore(r.config, snapshot.Data())
+	if err != nil {
+		return err
+	}
+	if err := r.rewriteJournal(); err != nil {
+		return err
+	}
+	r.state = state
+	r.appliedIndex = snapshot.Index()
+	r.log.Info("snapshot installed", zap.Uint64("index", snapshot.Index()))
+	r.applied(r.state, nil, nil, false)
+	return nil
+}
+
+func (r *replication) rewriteJournal() error {
+	snapshot, vote, entries := r.replica.Durable()
+	data, err := replicator.EncodeSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	record, err := replicator.EncodeVote(vote)
+	if err != nil {
+		return err
+	}
+	records := [][]byte{record}
+	for _, entry := range entries {
+		record, err := replicator.EncodeEntry(entry)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	if err := r.journal.Compact(data, records); err != nil {
+		return err
+	}
+	r.sinceCompact = 0
+	if len(entries) > 0 {
+		r.replica.Persisted(entries[len(entries)-1].Index())
+	}
+	return nil
+}
+
+func (r *replication) compactIfDue() error {
+	if r.sinceCompact < compactAfterEntries && r.journal.Bytes() < compactAfterBytes {
+		return nil
+	}
+	if r.sinceCompact == 0 {
+		return nil
+	}
+	data, err := r.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	if _, err := r.replica.Compact(r.appliedIndex, data); err != nil {
+		return err
+	}
+	if err := r.rewriteJournal(); err != nil {
+		return err
+	}
+	r.log.Info("journal compacted", zap.Uint64("index", r.appliedIndex), zap.Int("snapshotBytes", len(data)))
+	return nil
+}
+
+func (r *replication) apply(output replicator.Output) error {
+	for _, entry := range output.Committed() {
+		if err := r.applyEntry(entry); err != nil {
+			return err
+		}
+	}
+	for _, id := range output.Reads() {
+		in := r.queries[id]
+		delete(r.queries, id)
+		in.read(r.state)
+		in.done <- nil
+	}
+	for _, id := range output.LostReads() {
+		r.queries[id].done <- errNotLeader
+		delete(r.queries, id)
+	}
+	return nil
+}
+
+func (r *replication) applyEntry(entry replicator.Entry) error {
+	r.appliedIndex = entry.Index()
+	r.sinceCompact++
+	pending, waits := r.proposals[entry.Index()]
+	delete(r.proposals, entry.Index())
+	own := waits && pending.term == entry.Term()
+	if waits && !own {
+		pending.result <- proposalResult{err: errNotLeader} // another entry took the place
+	}
+	if entry.Kind() != replicator.Command {
+		return nil
+	}
+	command, at, err := applier.DecodeCommand(entry.Data())
+	if err != nil {
+		return errors.Wrapf(err, "entry %d", entry.Index())
+	}
+	result := r.state.Apply(command, at)
+	if own {
+		pending.result <- proposalResult{result: result}
+	}
+	r.applied(r.state, command, result, own)
+	return nil
+}
+
+func (r *replication) publishStatus() {
+	s := status{r.replica.Role(), r.replica.Term(), r.replica.Leader(), r.replica.Membership(), r.replica.CommitIndex()}
+	if s.role != r.lastStatus.role || s.term != r.lastStatus.term || s.leader != r.lastStatus.leader {
+		r.log.Info("role",
+			zap.Stringer("role", s.role), zap.Uint64("term", s.term), zap.Stringer("leader", s.leader))
+	}
+	if r.lastStatus.role == replicator.Leader && s.role != replicator.Leader {
+		r.failProposals()
+	}
+	r.lastStatus = s
+	r.publish(s)
+}
+
+// failProposals ends the wait for proposals whose fate another leader decides.
+func (r *replication) failProposals() {
+	for index, pending := range r.proposals {
+		pending.result <- proposalResult{err: errInDoubt}
+		delete(r.proposals, index)
+	}
+}
--- /dev/null
+++ b/internal/imitator/engine.go
@@ -0,0 +1,368 @@
+package imitator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const (
+	defaultTokens  = 20
+	bytesPerToken  = 4
+	prefixBytes    = 512
+	batchSlowdown  = 4 // a full batch takes this many times longer a token, in tenths more
+	tenths         = 10
+	eventSeparator = "\n\n"
+)
+
+var (
+	noncePattern  = regexp.MustCompile(`nonce:([A-Za-z0-9]+)`)
+	tokensPattern = regexp.MustCompile(`tokens:([0-9]+)`)
+)
+
+// stream is the run of one request. Its events stay for a while, so that a
+// client that lost its connection can read them again.
+type stream struct {
+	id               string
+	mutex            sync.Mutex
+	events           [][]byte
+	finished         bool
+	changed          chan struct{}
+	promptTokens     int64
+	completionTokens int64
+	cancel           context.CancelFunc
+}
+
+func (s *stream) append(event []byte, last bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.events = append(s.events, event)
+	s.finished = s.finished || last
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// engine is the model engine.
+type engine struct {
+	config Config
+	slots  chan struct{}
+
+	mutex   sync.Mutex
+	streams map[string]*stream
+	order   []string
+	cache   []string // prefixes, the most recently used last
+	running int64
+	waiting int64
+	hits    int64
+	misses  int64
+}
+
+func newEngine(config Config) *engine {
+	return &engine{config: config, slots: make(chan struct{}, config.Capacity), streams: map[string]*stream{}}
+}
+
+func (e *engine) load() (running, waiting int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.running, e.waiting
+}
+
+// CacheHits returns how many prompts found their prefix in the cache, and how
+// many did not.
+func (i *Imitator) CacheHits() (hits, misses int64) {
+	i.engine.mutex.Lock()
+	defer i.engine.mutex.Unlock()
+	return i.engine.hits, i.engine.misses
+}
+
+type chat struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int64           `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+func (e *engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	var c chat
+	if err := json.Unmarshal(body, &c); err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(requestHeader)
+	w.Header().Set(requestHeader, id)
+	s := e.start(id, c, body)
+	if c.Stream {
+		e.follow(w, r, s, 0)
+		return
+	}
+	e.whole(w, r, s, c)
+}
+
+// start begins the run of a request, or returns the one with the same id.
+func (e *engine) start(id string, c chat, body []byte) *stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if s, ok := e.streams[id]; ok {
+		cancel()
+		return s
+	}
+	s := &stream{
+		id: id, changed: make(chan struct{}), cancel: cancel,
+		promptTokens: int64(len(c.Messages)/bytesPerToken) + 1,
+	}
+	e.streams[id] = s
+	e.order = append(e.order, id)
+	if len(e.order) > maxRecords {
+		delete(e.streams, e.order[0])
+		e.order = e.order[1:]
+	}
+	e.waiting++
+	g := &generation{engine: e, stream: s, chat: c, body: body, ctx: ctx}
+	go g.run()
+	return s
+}
+
+// generation produces the events of one stream.
+type generation struct {
+	engine *engine
+	stream *stream
+	chat   chat
+	body   []byte
+	ctx    context.Context
+}
+
+func (g *generation) run() {
+	e := g.engine
+	e.slots <- struct{}{}
+	defer func() { <-e.slots }()
+	e.mutex.Lock()
+	e.waiting--
+	e.running++
+	cached := e.touch(string(g.chat.Messages[:min(len(g.chat.Messages), prefixBytes)]))
+	e.mutex.Unlock()
+	defer func() {
+		e.mutex.Lock()
+		e.running--
+		e.mutex.Unlock()
+	}()
+	if !cached {
+		time.Sleep(time.Duration(g.stream.promptTokens) * e.config.PromptTokenTime)
+	}
+	if crashes(e.config, g.body) {
+		return
+	}
+	g.generate()
+}
+
+func crashes(config Config, body []byte) bool {
+	if config.Crash == nil || !bytes.Contains(body, []byte(CrashMark)) {
+		return false
+	}
+	config.Crash()
+	return true
+}
+
+func (g *generation) generate() {
+	e, s := g.engine, g.stream
+	words := g.words()
+	for n, word := range words {
+		load, _ := e.load()
+		time.Sleep(e.config.TokenTime + e.config.TokenTime*time.Duration(load-1)*batchSlowdown/tenths/time.Duration(e.config.Capacity))
+		s.mutex.Lock()
+		s.completionTokens++
+		s.mutex.Unlock()
+		if n > 0 {
+			word = " " + word
+		}
+		s.append(chunk(g.chat.Model, s.id, map[string]string{"role": "assistant", "content": word}, nil), false)
+		if g.ctx.Err() != nil {
+			break
+		}
+	}
+	stop := "stop"
+	s.append(chunk(g.chat.Model, s.id, map[string]string{}, &stop), false)
+	s.append(usageChunk(g.chat.Model, s), false)
+	s.append([]byte("[DONE]"), true)
+}
+
+// words returns the answer: the nonce of the prompt, so that a caller can tell
+// its own answer, then filler up to the wanted length, then an end mark.
+func (g *generation) words() []string {
+	count := int64(defaultTokens)
+	if m := tokensPattern.FindSubmatch(g.body); m != nil {
+		count, _ = strconv.ParseInt(string(m[1]), 10, 64) // digits
+	}
+	if g.chat.MaxTokens > 0 {
+		count = min(count, g.chat.MaxTokens)
+	}
+	words := make([]string, 0, count)
+	if m := noncePattern.FindSubmatch(g.body); m != nil {
+		words = append(words, string(m[1]))
+	}
+	for int64(len(words)) < count-1 {
+		words = append(words, "w"+strconv.Itoa(len(words)))
+	}
+	return append(words, "end")
+}
+
+// touch looks a prefix up in the cache and makes it the most recently used.
+func (e *engine) touch(prefix string) bool {
+	for n, cached := range e.cache {
+		if cached == prefix {
+			e.cache = append(append(e.cache[:n:n], e.cache[n+1:]...), prefix)
+			e.hits++
+			return true
+		}
+	}
+	e.misses++
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > e.config.CachedPrefixes {
+		e.cache = e.cache[1:]
+	}
+	return false
+}
+
+func chunk(model, id string, delta map[string]string, finish *string) []byte {
+	data, err := json.Marshal(map[string]any{
+		"id": id, "object": "chat.completion.chunk", "created": 0, "model": model,
+		"choices": []any{map[string]any{"index": 0, "delta": delta, "finish_reason": finish}},
+	})
+	if err != nil {
+		panic(err) // plain values always encode
+	}
+	return data
+}
+
+func usageChunk(model string, s *stream) []byte {
+	data, err := json.Marshal(map[string]any{
+		"id": s.id, "object": "chat.completion.chunk", "created": 0, "model": model,
+		"choices": []any{}, "usage": s.usage(),
+	})
+	if err != nil {
+		panic(err) // plain values always encode
+	}
+	return data
+}
+
+func (s *stream) usage() map[string]int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return map[string]int64{
+		"prompt_tokens": s.promptTokens, "completion_tokens": s.completionTokens,
+		"total_tokens": s.promptTokens + s.completionTokens,
+	}
+}
+
+// follow writes the events of a stream as they come. A stream that nobody reads
+// any more is cancelled after a moment.
+func (e *engine) follow(w http.ResponseWriter, r *http.Request, s *stream, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush() // the client has gone
+	for next := from; ; {
+		s.mutex.Lock()
+		events, finished, changed := s.events, s.finished, s.changed
+		s.mutex.Unlock()
+		for ; next < len(events); next++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s%s", next, events[next], eventSeparator); err != nil {
+				return
+			}
+		}
+		_ = flusher.Flush() // as above
+		if finished {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *engine) serveStream(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "*")
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	e.mutex.Lock()
+	s, ok := e.streams[id]
+	e.mutex.Unlock()
+	if !ok || err != nil || from < 0 {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	w.Header().Set(requestHeader, id)
+	e.follow(w, r, s, from)
+}
+
+// whole answers without streaming.
+func (e *engine) whole(w http.ResponseWriter, r *http.Request, s *stream, c chat) {
+	for {
+		s.mutex.Lock()
+		finished, changed := s.finished, s.changed
+		s.mutex.Unlock()
+		if finished {
+			break
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	writeJSON(w, map[string]any{
+		"id": s.id, "object": "chat.completion", "created": 0, "model": c.Model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "stop",
+			"message": map[string]string{"role": "assistant", "content": s.content()},
+		}},
+		"usage": s.usage(),
+	})
+}
+
+func (s *stream) content() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var content strings.Builder
+	for _, event := range s.events {
+		var w struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal(event, &w) == nil && len(w.Choices) == 1 {
+			content.WriteString(w.Choices[0].Delta.Content)
+		}
+	}
+	return content.String()
+}
+
+func (e *engine) record(id string) (jsonUsageRecord, bool) {
+	e.mutex.Lock()
+	s, ok := e.streams[id]
+	e.mutex.Unlock()
+	if !ok {
+		return jsonUsageRecord{}, false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return jsonUsageRecord{s.finished, http.StatusOK, s.promptTokens, s.completionTokens}, true
+}
--- /dev/null
+++ b/internal/loader/mix.go
@@ -0,0 +1,168 @@
+// Package loader sends a mix of requests to routers, checks every answer and
+// measures. It is an open loop: requests are sent when they are due, however
+// long earlier ones take.
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	maxRequests    = 2_000_000
+	maxOpen        = 20_000
+	maxTestTime    = time.Hour
+	defaultTimeout = time.Minute
+)
+
+// Mix describes what to send.
+type Mix struct {
+	routers       []string
+	targets       []string
+	requests      int
+	ratePerSecond float64
+	maxOpen       int
+	timeout       time.Duration
+	seed          uint64
+	allowRemote   bool
+	work          []Work
+}
+
+// Work is one kind of request in a mix.
+type Work struct {
+	name         string
+	weight       int
+	organisation string
+	key          string
+	service      string
+	path         string
+	work         string
+	keyed        bool
+	stream       bool
+	tokens       int
+	promptBytes  int
+	prefixes     int
+	lateAfter    time.Duration
+}
+
+type jsonWork struct {
+	Name         string `json:"name"`
+	Weight       int    `json:"weight"`
+	Organisation string `json:"organisation"`
+	Key          string `json:"key"`
+	Service      string `json:"service"`
+	Path         string `json:"path,omitempty"`
+	Work         string `json:"work,omitempty"`
+	Keyed        bool   `json:"keyed,omitempty"`
+	Stream       bool   `json:"stream,omitempty"`
+	Tokens       int    `json:"tokens,omitempty"`
+	PromptBytes  int    `json:"promptBytes,omitempty"`
+	Prefixes     int    `json:"prefixes,omitempty"`
+	LateAfter    string `json:"lateAfter,omitempty"`
+}
+
+type jsonMix struct {
+	Routers       []string   `json:"routers"`
+	Targets       []string   `json:"targets,omitempty"`
+	Requests      int        `json:"requests"`
+	RatePerSecond float64    `json:"ratePerSecond"`
+	MaxOpen       int        `json:"maxOpen"`
+	Timeout       string     `json:"timeout,omitempty"`
+	Seed          uint64     `json:"seed"`
+	AllowRemote   bool       `json:"allowRemote,omitempty"`
+	Work          []jsonWork `json:"work"`
+}
+
+// LoadMix reads and checks a mix file.
+func LoadMix(path string) (Mix, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Mix{}, errors.Wrap(err, "mix")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var w jsonMix
+	if err := decoder.Decode(&w); err != nil {
+		return Mix{}, errors.Wrap(err, path)
+	}
+	m, err := mixFromJSON(w)
+	return m, errors.Wrap(err, path)
+}
+
+func mixFromJSON(w jsonMix) (Mix, error) {
+	m := Mix{
+		routers:       w.Routers,
+		targets:       w.Targets,
+		requests:      w.Requests,
+		ratePerSecond: w.RatePerSecond,
+		maxOpen:       w.MaxOpen,
+		timeout:       defaultTimeout,
+		seed:          w.Seed,
+		allowRemote:   w.AllowRemote,
+	}
+	if len(w.Routers) == 0 || len(w.Work) == 0 {
+		return m, errors.New("routers and work must not be empty")
+	}
+	if w.Requests <= 0 || w.Requests > maxRequests || w.MaxOpen <= 0 || w.MaxOpen > maxOpen {
+		return m, errors.Errorf("requests must be 1 to %d and maxOpen 1 to %d", maxRequests, maxOpen)
+	}
+	if w.RatePerSecond <= 0 || float64(w.Requests)/w.RatePerSecond > maxTestTime.Seconds() {
+		return m, errors.Errorf("ratePerSecond must be positive and the whole must not take longer than %s", maxTestTime)
+	}
+	if w.Timeout != "" {
+		timeout, err := time.ParseDuration(w.Timeout)
+		if err != nil {
+			return m, errors.Wrap(err, "timeout")
+		}
+		m.timeout = timeout
+	}
+	if !w.AllowRemote {
+		if err := checkLoopback(append(append([]string(nil), w.Routers...), w.Targets...)); err != nil {
+			return m, err
+		}
+	}
+	for _, jw := range w.Work {
+		work, err := workFromJSON(jw)
+		if err != nil {
+			return m, errors.Wrapf(err, "work[%q]", jw.Name)
+		}
+		m.work = append(m.work, work)
+	}
+	return m, nil
+}
+
+func workFromJSON(w jsonWork) (Work, error) {
+	work := Work{
+		name: w.Name, weight: w.Weight, organisation: w.Organisation, key: w.Key, service: w.Service,
+		path: w.Path, work: w.Work, keyed: w.Keyed, stream: w.Stream, tokens: w.Tokens,
+		promptBytes: w.PromptBytes, prefixes: max(1, w.Prefixes),
+	}
+	if w.Weight <= 0 || w.Service == "" || w.Key == "" {
+		return work, errors.New("weight, service and key are required")
+	}
+	if w.LateAfter == "" {
+		return work, nil
+	}
+	lateAfter, err := time.ParseDuration(w.LateAfter)
+	work.lateAfter = lateAfter
+	return work, errors.Wrap(err, "lateAfter")
+}
+
+// checkLoopback refuses addresses of other machines.
+func checkLoopback(addresses []string) error {
+	for _, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return errors.Wrapf(err, "address %q", address)
+		}
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			return errors.Errorf("address %q is not on this machine: set allowRemote to send load elsewhere", address)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/messenger/messenger.go
@@ -0,0 +1,205 @@
+// Package messenger defines the messages between the processes of the fleet.
+package messenger
+
+import (
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/pricer"
+)
+
+// The kinds of messages.
+const (
+	// Replicate carries a message of the replicated log. Notice.
+	Replicate uint8 = iota + 1
+	// Batch carries a batch of a router. Call, answered by an Answer that holds
+	// the result of the batch.
+	Batch
+	// ConfigurationRequest asks for the configuration in force. Call, answered
+	// by an Answer that holds a ticket with all that is in force.
+	ConfigurationRequest
+	// ConfigurationNews carries a ticket that has just been accepted. Notice.
+	ConfigurationNews
+	// Recall asks a router to return grants. Notice.
+	Recall
+	// Updates carries updates of the disseminator. Notice.
+	Updates
+	// Join asks the leader to take a control VM into the membership. Call,
+	// answered by an Answer.
+	Join
+	// Orphans asks a router to learn what became of the requests of a router
+	// that has ended. Notice.
+	Orphans
+)
+
+// Answer is a control VM's answer to a call: either a result, or a hint at the
+// VM that is the leader. The hint is empty if no leader is known.
+type Answer struct {
+	redirected bool
+	leaderVM   string
+	body       []byte
+}
+
+// NewAnswer returns an answer with a result.
+func NewAnswer(body []byte) Answer { return Answer{body: body} }
+
+// NewRedirect returns an answer that hints at the leader.
+func NewRedirect(leaderVM string) Answer { return Answer{redirected: true, leaderVM: leaderVM} }
+
+// Redirected reports whether the call was not handled because this control VM
+// is not the leader.
+func (a Answer) Redirected() bool { return a.redirected }
+
+// LeaderVM returns the name of the leader's VM, or "".
+func (a Answer) LeaderVM() string { return a.leaderVM }
+
+// Body returns the result.
+func (a Answer) Body() []byte { return a.body }
+
+type wireAnswer struct {
+	_          struct{} `cbor:",toarray"`
+	Redirected bool
+	LeaderVM   string
+	Body       []byte
+}
+
+// EncodeAnswer returns the CBOR form of an answer.
+func EncodeAnswer(a Answer) ([]byte, error) {
+	return encoder.Marshal(wireAnswer{Redirected: a.redirected, LeaderVM: a.leaderVM, Body: a.body})
+}
+
+// DecodeAnswer is the inverse of EncodeAnswer.
+func DecodeAnswer(data []byte) (Answer, error) {
+	var w wireAnswer
+	err := encoder.Unmarshal(data, &w)
+	return Answer{w.Redirected, w.LeaderVM, w.Body}, err
+}
+
+// News tells of a ticket. A receiver whose configuration has the previous
+// number can put the ticket on top of it; any other has to ask for the whole
+// configuration. Without a ticket it only tells the number in force.
+type News struct {
+	number    uint64
+	previous  uint64
+	ticket    archiver.Ticket
+	hasTicket bool
+}
+
+// NewNews returns news of a ticket that follows the previous number.
+func NewNews(previous uint64, ticket archiver.Ticket) News {
+	return News{ticket.Number(), previous, ticket, true}
+}
+
+// NewNumberNews returns news of the number in force.
+func NewNumberNews(number uint64) News { return News{number: number} }
+
+// Number returns the number in force.
+func (n News) Number() uint64 { return n.number }
+
+// Previous returns the number that the ticket follows.
+func (n News) Previous() uint64 { return n.previous }
+
+// Ticket returns the ticket, if the news carries it.
+func (n News) Ticket() (archiver.Ticket, bool) { return n.ticket, n.hasTicket }
+
+type wireNews struct {
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Previous uint64
+	Ticket   []byte
+}
+
+// EncodeNews returns the CBOR form of the news.
+func EncodeNews(n News) ([]byte, error) {
+	w := wireNews{Number: n.number, Previous: n.previous}
+	if n.hasTicket {
+		w.Ticket = archiver.Encode(n.ticket)
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeNews is the inverse of EncodeNews.
+func DecodeNews(data []byte) (News, error) {
+	var w wireNews
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return News{}, err
+	}
+	n := News{number: w.Number, previous: w.Previous}
+	if w.Ticket == nil {
+		return n, nil
+	}
+	ticket, err := archiver.Decode(w.Ticket)
+	if err == nil && ticket.Number() != w.Number {
+		err = errors.New("malformed news: numbers differ")
+	}
+	n.ticket, n.hasTicket = ticket, true
+	return n, err
+}
+
+// RecallOrder says how much of an account a router should keep, in microcredits.
+type RecallOrder struct {
+	account string
+	keep    pricer.Amount
+}
+
+// NewRecallOrder returns an order to keep no more than the amount.
+func NewRecallOrder(account string, keep pricer.Amount) RecallOrder {
+	return RecallOrder{account, keep}
+}
+
+// Account returns the account.
+func (r RecallOrder) Account() string { return r.account }
+
+// Keep returns how much the router should keep, in microcredits.
+func (r RecallOrder) Keep() pricer.Amount { return r.keep }
+
+type wireRecall struct {
+	_       struct{} `cbor:",toarray"`
+	Account string
+	Keep    int64
+}
+
+// EncodeRecall returns the CBOR form of an order.
+func EncodeRecall(r RecallOrder) ([]byte, error) {
+	return encoder.Marshal(wireRecall{Account: r.account, Keep: int64(r.keep)})
+}
+
+// DecodeRecall is the inverse of EncodeRecall.
+func DecodeRecall(data []byte) (RecallOrder, error) {
+	var w wireRecall
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return RecallOrder{}, err
+	}
+	if w.Keep < 0 {
+		return RecallOrder{}, errors.New("malformed recall: negative amount")
+	}
+	return RecallOrder{w.Account, pricer.Amount(w.Keep)}, nil
+}
+
+// EncodeIntents returns the CBOR form of a list of intents.
+func EncodeIntents(intents []bookkeeper.Intent) ([]byte, error) {
+	wire := make([]bookkeeper.WireIntent, 0, len(intents))
+	for _, i := range intents {
+		wire = append(wire, bookkeeper.IntentToWire(i))
+	}
+	return encoder.Marshal(wire)
+}
+
+// DecodeIntents is the inverse of EncodeIntents.
+func DecodeIntents(data []byte) ([]bookkeeper.Intent, error) {
+	var wire []bookkeeper.WireIntent
+	if err := encoder.Unmarshal(data, &wire); err != nil {
+		return nil, err
+	}
+	intents := make([]bookkeeper.Intent, 0, len(wire))
+	for _, w := range wire {
+		i, err := bookkeeper.IntentFromWire(w)
+		if err != nil {
+			return nil, err
+		}
+		intents = append(intents, i)
+	}
+	return intents, nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,230 @@
+// Package operator serves what every process offers to operators and to the
+// platform, and defines the JSON forms that the command line reads.
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+// Config configures the routes that every process has.
+type Config struct {
+	// Admits reports whether a secret with the hash is an operator's. Required.
+	Admits func(hash [32]byte) bool
+	// Ready reports whether the process takes new work. Required.
+	Ready func() bool
+	// Metrics holds the metrics of the process. Required.
+	Metrics metrics.Registry
+	// Timeline holds the events of the process. Required.
+	Timeline *recorder.Timeline
+}
+
+// Mount adds the routes that every process has: /live, /ready and /metrics for
+// the platform, and /timeline for operators.
+func Mount(routes chi.Router, config Config) {
+	routes.Get("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	routes.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !config.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	routes.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { writeMetrics(w, config.Metrics) })
+	routes.With(Guard(config.Admits)).Get("/timeline", func(w http.ResponseWriter, r *http.Request) {
+		serveTimeline(w, r, config.Timeline)
+	})
+}
+
+// Guard refuses requests without an operator's key.
+func Guard(admits func(hash [32]byte) bool) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !admits(archiver.HashKey(Bearer(r))) {
+				Fail(w, http.StatusUnauthorized, "unauthorised", "the key is not that of an operator")
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// Bearer returns the secret that a request presents, or "".
+func Bearer(r *http.Request) string {
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return secret
+}
+
+// Error is the JSON form of a refusal to an operator.
+type Error struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+}
+
+// Fail answers with an error.
+func Fail(w http.ResponseWriter, status int, kind, message string) {
+	write(w, status, map[string]Error{"error": {kind, message}})
+}
+
+// Answer answers with a value.
+func Answer(w http.ResponseWriter, v any) { write(w, http.StatusOK, v) }
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v) // the operator's connection has ended
+}
+
+// Charge is the JSON form of a charge.
+type Charge struct {
+	Request            string    `json:"request"`
+	Service            string    `json:"service"`
+	Work               string    `json:"work,omitempty"`
+	Target             string    `json:"target"`
+	PromptTokens       int64     `json:"promptTokens"`
+	CompletionTokens   int64     `json:"completionTokens"`
+	AmountMicrocredits int64     `json:"amountMicrocredits"`
+	Basis              string    `json:"basis"`
+	At                 time.Time `json:"at"`
+}
+
+// Statement is the JSON form of the account of one budget.
+type Statement struct {
+	Account        string   `json:"account"`
+	Prepaid        int64    `json:"prepaidMicrocredits"`
+	Charged        int64    `json:"chargedMicrocredits"`
+	Reserved       int64    `json:"reservedMicrocredits"`
+	Unspent        int64    `json:"heldByRoutersMicrocredits"`
+	Free           int64    `json:"freeMicrocredits"`
+	BroughtForward int64    `json:"broughtForwardMicrocredits"`
+	Charges        []Charge `json:"charges"`
+}
+
+// Statements is the JSON form of all accounts of an organisation.
+type Statements struct {
+	Statements []Statement `json:"statements"`
+}
+
+// StatementsToJSON maps statements to their JSON form.
+func StatementsToJSON(statements []bookkeeper.Statement) Statements {
+	var mapped Statements
+	for _, s := range statements {
+		w := Statement{
+			Account:        s.Account(),
+			Prepaid:        int64(s.Prepaid()),
+			Charged:        int64(s.Charged()),
+			Reserved:       int64(s.Reserved()),
+			Unspent:        int64(s.Unspent()),
+			Free:           int64(s.Free()),
+			BroughtForward: int64(s.BroughtForward()),
+			Charges:        []Charge{},
+		}
+		for _, c := range s.Charges() {
+			w.Charges = append(w.Charges, chargeToJSON(c))
+		}
+		mapped.Statements = append(mapped.Statements, w)
+	}
+	return mapped
+}
+
+func chargeToJSON(c bookkeeper.Charge) Charge {
+	return Charge{
+		Request:            c.Request().String(),
+		Service:            c.Service(),
+		Work:               c.Work(),
+		Target:             c.Target(),
+		PromptTokens:       c.Usage().PromptTokens(),
+		CompletionTokens:   c.Usage().CompletionTokens(),
+		AmountMicrocredits: int64(c.Amount()),
+		Basis:              c.Basis().String(),
+		At:                 c.At(),
+	}
+}
+
+// OrganisationOf returns the organisation that an account belongs to.
+func OrganisationOf(account string) string {
+	organisation, _, _ := strings.Cut(account, "/")
+	return organisation
+}
+
+// PeersToJSON lists live links.
+func PeersToJSON(peers []*linker.Peer) []string {
+	names := []string{}
+	for _, p := range peers {
+		i := p.Identity()
+		names = append(names, fmt.Sprintf("%s %s in %s", i.Role(), i.Process(), i.DataCentre()))
+	}
+	return names
+}
+
+// EntriesToJSON lists the entries that a process knows.
+func EntriesToJSON(entries []disseminator.Entry) []string {
+	keys := []string{}
+	for _, e := range entries {
+		keys = append(keys, e.Key())
+	}
+	return keys
+}
+
+// Event is the JSON form of an event.
+type Event struct {
+	Stamp        uint64    `json:"stamp"`
+	At           time.Time `json:"at"`
+	VM           string    `json:"vm"`
+	Name         string    `json:"name"`
+	Request      string    `json:"request,omitempty"`
+	Organisation string    `json:"organisation,omitempty"`
+	Detail       string    `json:"detail,omitempty"`
+}
+
+// Timeline is the JSON form of a time line.
+type Timeline struct {
+	Events []Event `json:"events"`
+}
+
+func serveTimeline(w http.ResponseWriter, r *http.Request, timeline *recorder.Timeline) {
+	request, organisation := r.URL.Query().Get("request"), r.URL.Query().Get("organisation")
+	since, _ := time.Parse(time.RFC3339Nano, r.URL.Query().Get("since")) // none if malformed
+	events := timeline.Select(func(e recorder.Event) bool {
+		return (request == "" || e.Request() == request) &&
+			(organisation == "" || e.Organisation() == organisation) &&
+			e.At().After(since)
+	})
+	answer := Timeline{Events: []Event{}}
+	for _, e := range events {
+		answer.Events = append(answer.Events, Event{
+			Stamp: e.Stamp(), At: e.At(), VM: e.VM(), Name: e.Name(),
+			Request: e.Request(), Organisation: e.Organisation(), Detail: e.Detail(),
+		})
+	}
+	Answer(w, answer)
+}
+
+// writeMetrics writes the metrics as text, one value a line, in the form that
+// the usual scrapers read.
+func writeMetrics(w http.ResponseWriter, registry metrics.Registry) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "radishshed_%s %d\n", name, m.Count()) // the scraper's connection has ended
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "radishshed_%s %d\n", name, m.Value()) // as above
+		}
+	})
+}
--- /dev/null
+++ b/internal/router/callers.go
@@ -0,0 +1,247 @@
+package router
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/admitter"
+	"radishshed.example/radishshed/internal/forwarder"
+	"radishshed.example/radishshed/internal/operator"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/pkg/protocol/classifier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+)
+
+const (
+	// WorkHeader names the kind of work of a request.
+	WorkHeader = "Radishshed-Work"
+	// keyHeader names a request over its retries.
+	keyHeader            = "Idempotency-Key"
+	maxAnnouncementBytes = 64 << 10
+)
+
+// callerRoutes serves callers, targets and the platform's balancer.
+func (r *Router) callerRoutes() http.Handler {
+	routes := chi.NewRouter()
+	routes.Use(r.closeWhenDraining)
+	routes.Get("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	routes.Get("/ready", r.serveReady)
+	routes.Post("/v1/chat/completions", r.serveChat)
+	routes.Get("/v1/models", r.serveModels)
+	routes.HandleFunc("/services/{service}/*", r.serveService)
+	routes.Post("/targets/announce", r.serveAnnounce)
+	return routes
+}
+
+// operatorRoutes serves operators and the platform.
+func (r *Router) operatorRoutes() http.Handler {
+	routes := chi.NewRouter()
+	operator.Mount(routes, operator.Config{
+		Admits:   r.admitsOperator,
+		Ready:    r.ready,
+		Metrics:  r.metrics,
+		Timeline: r.timeline,
+	})
+	routes.With(operator.Guard(r.admitsOperator)).Get("/status", r.serveStatus)
+	return routes
+}
+
+func (r *Router) admitsOperator(hash [32]byte) bool {
+	return r.settings.Operators().AdmitsOperator(hash) || r.configuration.Load().Credentials().AdmitsOperator(hash)
+}
+
+func (r *Router) ready() bool { return r.isConfirmed() && !r.draining.Load() }
+
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (r *Router) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	operator.Answer(w, map[string]any{
+		"vm":         r.settings.VM(),
+		"dataCentre": r.settings.DataCentre(),
+		"process":    r.process.String(),
+		"role":       "router",
+		"draining":   r.draining.Load(),
+		"ticket":     r.configuration.Load().Number(),
+		"peers":      operator.PeersToJSON(r.endpoint.Peers()),
+		"entries":    operator.EntriesToJSON(r.spreader.Live()),
+	})
+}
+
+// closeWhenDraining asks clients on kept-alive connections to open new ones,
+// which the balancer sends elsewhere.
+func (r *Router) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, request)
+	})
+}
+
+func (r *Router) serveChat(w http.ResponseWriter, request *http.Request) {
+	r.serve(w, request, admitter.Request{Method: http.MethodPost, Path: "/v1/chat/completions"})
+}
+
+func (r *Router) serveService(w http.ResponseWriter, request *http.Request) {
+	path := "/" + chi.URLParam(request, "*")
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	r.serve(w, request, admitter.Request{
+		Service: chi.URLParam(request, "service"),
+		Method:  request.Method,
+		Path:    path,
+	})
+}
+
+// serve admits a request and runs it.
+func (r *Router) serve(w http.ResponseWriter, request *http.Request, a admitter.Request) {
+	id := r.committer.NewRequest()
+	w.Header().Set(forwarder.RequestHeader, id.String())
+	if !r.isConfirmed() {
+		r.committer.Abandon(id)
+		r.refuse(w, admitter.Refuse(admitter.Starting, "this router has no confirmed configuration yet"))
+		return
+	}
+	a.Secret = operator.Bearer(request)
+	a.IdempotencyKey = request.Header.Get(keyHeader)
+	a.Work = request.Header.Get(WorkHeader)
+	a.ContentType = request.Header.Get("Content-Type")
+	admission, refusal := r.admit(w, request, a)
+	if refusal != nil {
+		r.committer.Abandon(id)
+		r.refuse(w, refusal)
+		return
+	}
+	r.counters.admitted.Inc(1)
+	r.counters.open.Inc(1)
+	defer r.counters.open.Dec(1)
+	j := newJob(r, id, admission)
+	j.run(request.Context(), w)
+}
+
+func (r *Router) admit(w http.ResponseWriter, request *http.Request, a admitter.Request) (admitter.Admission, *admitter.Refusal) {
+	configuration := *r.configuration.Load()
+	// The key is checked before the body is read, so that strangers cost little.
+	if _, refusal := admitter.Authenticate(configuration, a.Secret); refusal != nil {
+		return admitter.Admission{}, refusal
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, admitter.MaxBodyBytes))
+	if err != nil {
+		return admitter.Admission{}, admitter.Refuse(admitter.TooLarge, "the body cannot be read: %v", err)
+	}
+	a.Body = body
+	admission, refusal := admitter.Admit(configuration, a, time.Now())
+	if refusal == nil && r.strikes.out(admission.Fingerprint(), time.Now()) {
+		refusal = admitter.Refuse(admitter.Quarantined, "%d targets broke on this request: it is refused for a while", maxStrikes)
+	}
+	return admission, refusal
+}
+
+type jsonErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+}
+
+func errorBody(refusal *admitter.Refusal) []byte {
+	data, err := json.Marshal(map[string]jsonErrorBody{"error": {
+		Message: refusal.Message(),
+		Type:    refusal.ErrorType(),
+		Code:    string(refusal.Kind()),
+		Verdict: refusal.Verdict().String(),
+	}})
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	return data
+}
+
+// refuse tells a caller why there is no answer.
+func (r *Router) refuse(w http.ResponseWriter, refusal *admitter.Refusal) {
+	r.counters.refused.Inc(1)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(classifier.Header, refusal.Verdict().String())
+	if after := refusal.RetryAfter(); after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(after.Seconds())))
+	}
+	w.WriteHeader(refusal.Status())
+	_, _ = w.Write(errorBody(refusal)) // the caller has gone
+}
+
+func (r *Router) serveModels(w http.ResponseWriter, request *http.Request) {
+	configuration := *r.configuration.Load()
+	if _, refusal := admitter.Authenticate(configuration, operator.Bearer(request)); refusal != nil {
+		r.refuse(w, refusal)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	models := []model{}
+	for _, s := range configuration.Services() {
+		if _, ok := s.Kind().(archiver.Model); ok {
+			models = append(models, model{ID: s.Name(), Object: "model", OwnedBy: "radishshed"})
+		}
+	}
+	operator.Answer(w, map[string]any{"object": "list", "data": models})
+}
+
+func (r *Router) serveAnnounce(w http.ResponseWriter, request *http.Request) {
+	if !r.configuration.Load().Credentials().AdmitsTarget(archiver.HashKey(operator.Bearer(request))) {
+		operator.Fail(w, http.StatusUnauthorized, "unauthorised", "the key is not that of a target")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxAnnouncementBytes))
+	if err != nil {
+		operator.Fail(w, http.StatusRequestEntityTooLarge, "tooLarge", err.Error())
+		return
+	}
+	announcement, err := selector.DecodeAnnouncement(body)
+	if err != nil {
+		operator.Fail(w, http.StatusBadRequest, "badAnnouncement", err.Error())
+		return
+	}
+	entry, err := announcement.Entry(time.Now())
+	if err == nil {
+		err = r.spreader.Put(entry)
+	}
+	if err != nil {
+		operator.Fail(w, http.StatusServiceUnavailable, "notTaken", err.Error())
+		return
+	}
+	operator.Answer(w, map[string]any{"routers": r.callerAddresses()})
+}
+
+// callerAddresses returns where targets can announce themselves.
+func (r *Router) callerAddresses() []string { return []string{r.settings.CallerAddress()} }
+
+// event records one step of a request in the log and the time line.
+func (r *Router) event(name string, j *job, detail string) {
+	r.timeline.Record(recorder.EventConfig{
+		Name:         name,
+		Request:      j.request.String(),
+		Organisation: j.organisation(),
+		Detail:       detail,
+	})
+	if ce := r.log.Check(zap.DebugLevel, name); ce != nil {
+		ce.Write(zap.Stringer("request", j.request), zap.String("organisation", j.organisation()),
+			zap.String("detail", strings.TrimSpace(detail)))
+	}
+}
--- /dev/null
+++ b/internal/router/membership.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	routerPrefix       = "router/"
+	presenceInterval   = 5 * time.Second
+	presenceLease      = 20 * time.Second
+	peersPerDataCentre = 2
+	membershipTick     = time.Second
+)
+
+// jsonPresence is what a router tells the fleet about itself.
+type jsonPresence struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Draining   bool   `json:"draining"`
+}
+
+// runMembership announces this router and keeps links to all control VMs and to
+// a few routers in each data centre.
+func (r *Router) runMembership(ctx context.Context) {
+	ticker := time.NewTicker(membershipTick)
+	defer ticker.Stop()
+	var announcedAt time.Time
+	for {
+		if time.Since(announcedAt) >= presenceInterval {
+			r.announceSelf()
+			announcedAt = time.Now()
+		}
+		r.endpoint.Keep(append(slices.Clone(r.settings.ControlAddresses()), r.peerAddresses()...))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Router) announceSelf() {
+	value, err := json.Marshal(jsonPresence{r.settings.LinkAddress(), r.settings.DataCentre(), r.draining.Load()})
+	if err != nil {
+		return // strings and a boolean always encode
+	}
+	_ = r.spreader.Put(disseminator.NewEntry(disseminator.EntryConfig{
+		Key:       routerPrefix + r.process.VM(),
+		Version:   disseminator.NewVersion(r.process.Incarnation(), uint64(time.Now().UnixNano())),
+		Value:     value,
+		ExpiresAt: time.Now().Add(presenceLease),
+	})) // announced again in a moment
+}
+
+// peerAddresses chooses the routers to keep links to. The choice by hash spreads
+// the links evenly and changes little when routers come and go (rendezvous
+// hashing; Thaler and Ravishankar, 1998).
+func (r *Router) peerAddresses() []string {
+	type candidate struct {
+		address string
+		weight  uint64
+	}
+	byDataCentre := map[string][]candidate{}
+	for _, e := range r.spreader.Live() {
+		vm, ok := strings.CutPrefix(e.Key(), routerPrefix)
+		if !ok || vm == r.process.VM() {
+			continue
+		}
+		var presence jsonPresence
+		if err := json.Unmarshal(e.Value(), &presence); err != nil {
+			continue
+		}
+		byDataCentre[presence.DataCentre] = append(byDataCentre[presence.DataCentre],
+			candidate{presence.Address, pairWeight(r.process.VM(), vm)})
+	}
+	var addresses []string
+	for _, candidates := range byDataCentre {
+		slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+		for _, c := range candidates[:min(len(candidates), peersPerDataCentre)] {
+			addresses = append(addresses, c.address)
+		}
+	}
+	return addresses
+}
+
+func pairWeight(a, b string) uint64 {
+	digest := xxhash.New()
+	for _, name := range []string{min(a, b), max(a, b)} {
+		_, _ = digest.WriteString(name)                                               // never fails, as documented by hash.Hash
+		_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, uint32(len(name)))) // as above
+	}
+	return digest.Sum64()
+}
+
+// learn takes over what has been spread.
+func (r *Router) learn(entries []disseminator.Entry) {
+	r.selector.Learn(entries)
+	r.strikes.learn(entries)
+}
+
+// handle handles what peers send.
+func (r *Router) handle(_ context.Context, from *linker.Peer, kind uint8, body []byte) ([]byte, error) {
+	switch kind {
+	case messenger.Updates:
+		return nil, r.spreader.Receive(updatesLink{from}, body)
+	case messenger.ConfigurationNews:
+		return nil, r.handleNews(body)
+	case messenger.Recall:
+		order, err := messenger.DecodeRecall(body)
+		if err != nil {
+			return nil, err
+		}
+		r.allotter.Account(order.Account()).Recall(order.Keep())
+		r.committer.Urge()
+		return nil, nil
+	case messenger.Orphans:
+		intents, err := messenger.DecodeIntents(body)
+		if err != nil {
+			return nil, err
+		}
+		r.resolveOrphans(intents)
+		return nil, nil
+	default:
+		return nil, errors.Errorf("a router does not handle messages of kind %d", kind)
+	}
+}
--- /dev/null
+++ b/internal/selector/selector.go
@@ -0,0 +1,236 @@
+package selector
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+)
+
+// Errors of Acquire. In each case no target has received the request.
+var (
+	// ErrNoTarget means that no target serves the service.
+	ErrNoTarget = errors.New("no target serves this service at present")
+	// ErrOverloaded means that all targets are full.
+	ErrOverloaded = errors.New("all targets of this service are full")
+)
+
+// Target is a target that serves requests. It is safe for concurrent use.
+type Target struct {
+	name        string
+	address     string
+	dataCentre  string
+	incarnation uint64
+	capacity    int64
+	services    []string
+	leaving     atomic.Bool
+	expiresAt   atomic.Int64 // Unix time in nanoseconds
+	reported    atomic.Int64 // running and waiting, as last reported
+	sentSince   atomic.Int64 // requests sent since the last report
+	open        atomic.Int64 // requests of this router that are open
+}
+
+// Name returns the target's name.
+func (t *Target) Name() string { return t.name }
+
+// Address returns the target's address, as host and port.
+func (t *Target) Address() string { return t.address }
+
+// load estimates how many requests the target has: what it reported plus what
+// was sent since, but no fewer than this router has open there.
+func (t *Target) load() int64 {
+	return max(t.reported.Load()+t.sentSince.Load(), t.open.Load())
+}
+
+func (t *Target) usable(now time.Time) bool {
+	return !t.leaving.Load() && now.UnixNano() < t.expiresAt.Load()
+}
+
+// registry is what is known of targets. It is replaced as a whole.
+type registry struct {
+	byName    map[string]*Target
+	byService map[string][]*Target
+}
+
+// Selector chooses targets. It is safe for concurrent use.
+type Selector struct {
+	now      func() time.Time
+	registry atomic.Pointer[registry]
+
+	mutex   sync.Mutex // serialises changes of the registry
+	changed chan struct{}
+}
+
+// Config configures a selector.
+type Config struct {
+	// Now returns the time. Default: time.Now.
+	Now func() time.Time
+}
+
+// New returns a selector that knows no targets.
+func New(config Config) *Selector {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	s := &Selector{now: config.Now, changed: make(chan struct{})}
+	s.registry.Store(&registry{map[string]*Target{}, map[string][]*Target{}})
+	return s
+}
+
+// Learn takes over entries of the disseminator. Entries that are not targets
+// are ignored.
+func (s *Selector) Learn(entries []disseminator.Entry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	next := s.registry.Load()
+	for _, e := range entries {
+		if !strings.HasPrefix(e.Key(), keyPrefix) {
+			continue
+		}
+		a, err := announcementFrom(e)
+		if err != nil {
+			continue // refused by the router that took the announcement
+		}
+		next = next.with(a, e.ExpiresAt())
+	}
+	s.registry.Store(next)
+	s.signal()
+}
+
+// with returns the registry after an announcement.
+func (r *registry) with(a Announcement, expiresAt time.Time) *registry {
+	old := r.byName[a.name]
+	if old != nil && a.incarnation < old.incarnation {
+		return r
+	}
+	_, leaving := a.state.(Leaving)
+	if old != nil && old.incarnation == a.incarnation && old.address == a.address && slices.Equal(old.services, a.services) {
+		old.update(a, leaving, expiresAt)
+		return r
+	}
+	t := &Target{
+		name: a.name, address: a.address, dataCentre: a.dataCentre,
+		incarnation: a.incarnation, capacity: a.capacity, services: a.services,
+	}
+	t.update(a, leaving, expiresAt)
+	next := &registry{map[string]*Target{}, map[string][]*Target{}}
+	for name, other := range r.byName {
+		next.byName[name] = other
+	}
+	next.byName[a.name] = t
+	for _, other := range next.byName {
+		for _, service := range other.services {
+			next.byService[service] = append(next.byService[service], other)
+		}
+	}
+	return next
+}
+
+func (t *Target) update(a Announcement, leaving bool, expiresAt time.Time) {
+	if leaving {
+		t.leaving.Store(true)
+	}
+	t.reported.Store(a.load.running + a.load.waiting)
+	t.sentSince.Store(0)
+	t.expiresAt.Store(max(t.expiresAt.Load(), expiresAt.UnixNano()))
+}
+
+// Choice is a request for a target.
+type Choice struct {
+	// Service is the service that the target must serve. Required.
+	Service string
+	// Exclude names targets that must not be chosen.
+	Exclude []string
+	// WaitUntil is until when the request may wait for a target. The zero value
+	// means that it may not wait.
+	WaitUntil time.Time
+}
+
+// Lease is the use of a target for one request. Release must be called.
+type Lease struct {
+	selector *Selector
+	target   *Target
+	once     sync.Once
+}
+
+// Target returns the target.
+func (l *Lease) Target() *Target { return l.target }
+
+// Release ends the use of the target.
+func (l *Lease) Release() {
+	l.once.Do(func() {
+		l.target.open.Add(-1)
+		l.target.sentSince.Add(-1)
+		l.selector.mutex.Lock()
+		l.selector.signal()
+		l.selector.mutex.Unlock()
+	})
+}
+
+// Acquire chooses a target, waiting for one if the request may wait.
+func (s *Selector) Acquire(ctx context.Context, c Choice) (*Lease, error) {
+	for {
+		s.mutex.Lock()
+		changed := s.changed
+		s.mutex.Unlock()
+		lease, err := s.pick(c)
+		if err == nil || !s.now().Before(c.WaitUntil) {
+			return lease, err
+		}
+		timer := time.NewTimer(c.WaitUntil.Sub(s.now()))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, errors.Wrap(ctx.Err(), "wait for a target")
+		}
+		timer.Stop()
+	}
+}
+
+// Targets returns the targets that serve the service, also those that leave.
+func (s *Selector) Targets(service string) []*Target {
+	return slices.Clone(s.registry.Load().byService[service])
+}
+
+// pick takes the less loaded of two targets chosen at random (Mitzenmacher,
+// "The Power of Two Choices", 2001).
+func (s *Selector) pick(c Choice) (*Lease, error) {
+	now := s.now()
+	var usable []*Target
+	for _, t := range s.registry.Load().byService[c.Service] {
+		if t.usable(now) && !slices.Contains(c.Exclude, t.name) {
+			usable = append(usable, t)
+		}
+	}
+	if len(usable) == 0 {
+		return nil, ErrNoTarget
+	}
+	first := usable[rand.IntN(len(usable))]
+	second := usable[rand.IntN(len(usable))]
+	if second.load()*first.capacity < first.load()*second.capacity {
+		first = second
+	}
+	if first.load() >= first.capacity {
+		first = slices.MinFunc(usable, func(a, b *Target) int { return int(a.load()*b.capacity - b.load()*a.capacity) })
+	}
+	if first.load() >= first.capacity {
+		return nil, ErrOverloaded
+	}
+	first.open.Add(1)
+	first.sentSince.Add(1)
+	return &Lease{selector: s, target: first}, nil
+}
+
+func (s *Selector) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/pkg/coordination/claimer/codec.go
@@ -0,0 +1,130 @@
+package claimer
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+// WireAnswer is the CBOR form of an Answer.
+type WireAnswer struct {
+	_           struct{} `cbor:",toarray"`
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// WireOutcome is the CBOR form of an Outcome.
+type WireOutcome struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    uint8
+	Request string
+	Answer  WireAnswer
+}
+
+const (
+	wireGranted uint8 = iota + 1
+	wireRunning
+	wireFinished
+	wireMismatch
+)
+
+type wireClaim struct {
+	_               struct{} `cbor:",toarray"`
+	Organisation    string
+	Key             string
+	Fingerprint     Fingerprint
+	Request         string
+	Finished        bool
+	Answer          WireAnswer
+	ExpiresAtMillis int64
+}
+
+// AnswerToWire returns the CBOR form of the answer.
+func AnswerToWire(a Answer) WireAnswer {
+	return WireAnswer{Status: a.status, ContentType: a.contentType, Body: a.body}
+}
+
+// AnswerFromWire is the inverse of AnswerToWire.
+func AnswerFromWire(w WireAnswer) Answer { return Answer{w.Status, w.ContentType, w.Body} }
+
+// OutcomeToWire returns the CBOR form of the outcome.
+func OutcomeToWire(outcome Outcome) WireOutcome {
+	switch o := outcome.(type) {
+	case Running:
+		return WireOutcome{Kind: wireRunning, Request: o.request.String()}
+	case Finished:
+		return WireOutcome{Kind: wireFinished, Request: o.request.String(), Answer: AnswerToWire(o.answer)}
+	case Mismatch:
+		return WireOutcome{Kind: wireMismatch}
+	default:
+		return WireOutcome{Kind: wireGranted}
+	}
+}
+
+// OutcomeFromWire is the inverse of OutcomeToWire.
+func OutcomeFromWire(w WireOutcome) (Outcome, error) {
+	switch w.Kind {
+	case wireGranted:
+		return Granted{}, nil
+	case wireMismatch:
+		return Mismatch{}, nil
+	}
+	request, err := identifier.ParseRequest(w.Request)
+	if err != nil {
+		return nil, err
+	}
+	switch w.Kind {
+	case wireRunning:
+		return Running{request}, nil
+	case wireFinished:
+		return Finished{request, AnswerFromWire(w.Answer)}, nil
+	default:
+		return nil, errors.Errorf("unknown outcome %d of a claim", w.Kind)
+	}
+}
+
+// Snapshot returns the CBOR form of the whole table.
+func (t *Table) Snapshot() ([]byte, error) {
+	var wire []wireClaim
+	for key, c := range t.claims {
+		wire = append(wire, wireClaim{
+			Organisation:    key.organisation,
+			Key:             key.key,
+			Fingerprint:     c.fingerprint,
+			Request:         c.request.String(),
+			Finished:        c.finished,
+			Answer:          AnswerToWire(c.answer),
+			ExpiresAtMillis: c.expiresAt.UnixMilli(),
+		})
+	}
+	return encoder.Marshal(wire)
+}
+
+// Restore returns the table of a snapshot.
+func Restore(config Config, data []byte) (*Table, error) {
+	var wire []wireClaim
+	if err := encoder.Unmarshal(data, &wire); err != nil {
+		return nil, err
+	}
+	t := New(config)
+	for _, w := range wire {
+		request, err := identifier.ParseRequest(w.Request)
+		if err != nil {
+			return nil, err
+		}
+		key := Key{w.Organisation, w.Key}
+		t.byRequest[request] = key
+		t.claims[key] = &claim{
+			fingerprint: w.Fingerprint,
+			request:     request,
+			finished:    w.Finished,
+			answer:      AnswerFromWire(w.Answer),
+			expiresAt:   time.UnixMilli(w.ExpiresAtMillis).UTC(),
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/pkg/coordination/disseminator/codec.go
@@ -0,0 +1,70 @@
+package disseminator
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+)
+
+// wireUpdate carries the rest of a lease and not its end, since the clocks of
+// two VMs differ.
+type wireUpdate struct {
+	_               struct{} `cbor:",toarray"`
+	Key             string
+	Incarnation     uint64
+	Sequence        uint64
+	RemainingMillis int64
+	Load            []byte
+	Value           *[]byte
+}
+
+const maxLease = 24 * time.Hour
+
+// EncodeUpdates returns the CBOR form of the updates.
+func EncodeUpdates(updates []Update, now time.Time) ([]byte, error) {
+	wire := make([]wireUpdate, 0, len(updates))
+	for _, u := range updates {
+		w := wireUpdate{
+			Key:             u.entry.key,
+			Incarnation:     u.entry.version.incarnation,
+			Sequence:        u.entry.version.sequence,
+			RemainingMillis: u.entry.expiresAt.Sub(now).Milliseconds(),
+			Load:            u.entry.load,
+		}
+		if u.hasValue {
+			value := u.entry.value
+			w.Value = &value
+		}
+		wire = append(wire, w)
+	}
+	return encoder.Marshal(wire)
+}
+
+// DecodeUpdates is the inverse of EncodeUpdates.
+func DecodeUpdates(data []byte, now time.Time) ([]Update, error) {
+	var wire []wireUpdate
+	if err := encoder.Unmarshal(data, &wire); err != nil {
+		return nil, err
+	}
+	updates := make([]Update, 0, len(wire))
+	for _, w := range wire {
+		remaining := time.Duration(w.RemainingMillis) * time.Millisecond
+		if w.Key == "" || w.RemainingMillis > maxLease.Milliseconds() {
+			return nil, errors.New("malformed update")
+		}
+		e := Entry{
+			key:       w.Key,
+			version:   Version{w.Incarnation, w.Sequence},
+			load:      w.Load,
+			expiresAt: now.Add(max(0, remaining)),
+		}
+		e.valueSequence = e.version.sequence
+		if w.Value != nil {
+			e.value = *w.Value
+		}
+		updates = append(updates, Update{e, w.Value != nil})
+	}
+	return updates, nil
+}
--- /dev/null
+++ b/pkg/coordination/disseminator/spreader.go
@@ -0,0 +1,158 @@
+package disseminator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Link sends encoded updates to one peer, in order.
+type Link interface {
+	// SendUpdates queues the updates, or returns an error if the link is down.
+	SendUpdates(data []byte) error
+}
+
+// SpreaderConfig configures a spreader.
+type SpreaderConfig struct {
+	// Table configures the table of entries.
+	Table Config
+	// Interval is how often renewals are sent. Changed values are sent at once.
+	// Default: 250 ms.
+	Interval time.Duration
+	// Changed, if set, is called with entries that are newer than before.
+	Changed func([]Entry)
+	// Now returns the time. Default: time.Now.
+	Now func() time.Time
+}
+
+// Spreader keeps a table in step with those of its peers. It is safe for
+// concurrent use.
+type Spreader struct {
+	config SpreaderConfig
+	wake   chan struct{}
+
+	mutex sync.Mutex
+	table *Table
+	views map[Link]*View
+}
+
+// NewSpreader returns a spreader without links. Run makes it send.
+func NewSpreader(config SpreaderConfig) *Spreader {
+	if config.Interval == 0 {
+		config.Interval = 250 * time.Millisecond
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Changed == nil {
+		config.Changed = func([]Entry) {}
+	}
+	return &Spreader{
+		config: config,
+		wake:   make(chan struct{}, 1),
+		table:  New(config.Table),
+		views:  map[Link]*View{},
+	}
+}
+
+// Add starts spreading over the link.
+func (s *Spreader) Add(link Link) {
+	s.mutex.Lock()
+	s.views[link] = NewView()
+	s.mutex.Unlock()
+	s.urge()
+}
+
+// Remove ends spreading over the link.
+func (s *Spreader) Remove(link Link) {
+	s.mutex.Lock()
+	delete(s.views, link)
+	s.mutex.Unlock()
+}
+
+// Put merges an entry of this process or of a client of it.
+func (s *Spreader) Put(e Entry) error {
+	s.mutex.Lock()
+	newer, valueChanged, err := s.table.Merge(e)
+	s.mutex.Unlock()
+	if newer {
+		s.config.Changed([]Entry{e})
+	}
+	if valueChanged {
+		s.urge()
+	}
+	return errors.Wrapf(err, "entry %q", e.key)
+}
+
+// Receive merges what came in over the link.
+func (s *Spreader) Receive(link Link, data []byte) error {
+	updates, err := DecodeUpdates(data, s.config.Now())
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	view := s.views[link]
+	if view == nil {
+		view = NewView() // the link has just gone down
+	}
+	newer, valueChanged := s.table.Receive(view, updates)
+	s.mutex.Unlock()
+	if len(newer) > 0 {
+		s.config.Changed(newer)
+	}
+	if valueChanged {
+		s.urge()
+	}
+	return nil
+}
+
+// Live returns the entries whose lease has not ended.
+func (s *Spreader) Live() []Entry {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Live(s.config.Now())
+}
+
+// Run sends updates until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.config.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.sendAll()
+	}
+}
+
+func (s *Spreader) urge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Spreader) sendAll() {
+	now := s.config.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Forget(now)
+	for link, view := range s.views {
+		updates := s.table.Updates(view, now)
+		if len(updates) == 0 {
+			continue
+		}
+		data, err := EncodeUpdates(updates, now)
+		if err == nil {
+			err = link.SendUpdates(data)
+		}
+		if err != nil {
+			delete(s.views, link) // the link is down and comes back with a new view
+		}
+	}
+}
--- /dev/null
+++ b/pkg/coordination/replicator/codec.go
@@ -0,0 +1,233 @@
+package replicator
+
+import (
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+type wireProcess struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+}
+
+type wireMembership struct {
+	_        struct{} `cbor:",toarray"`
+	Voters   []wireProcess
+	Learners []wireProcess
+}
+
+type wireEntry struct {
+	_     struct{} `cbor:",toarray"`
+	Index uint64
+	Term  uint64
+	Kind  uint8
+	Data  []byte
+}
+
+type wireSnapshot struct {
+	_          struct{} `cbor:",toarray"`
+	Index      uint64
+	Term       uint64
+	Membership wireMembership
+	Data       []byte
+}
+
+type messageKind uint8
+
+const (
+	voteRequestKind messageKind = iota + 1
+	voteResponseKind
+	appendRequestKind
+	appendResponseKind
+	snapshotRequestKind
+	campaignRequestKind
+)
+
+// wireMessage has the fields of all messages; each kind uses some of them.
+type wireMessage struct {
+	_            struct{} `cbor:",toarray"`
+	Kind         messageKind
+	From         wireProcess
+	To           wireProcess
+	Term         uint64
+	Flag         bool
+	Forced       bool
+	Index        uint64
+	IndexTerm    uint64
+	Commit       uint64
+	ReadSequence uint64
+	Entries      []wireEntry
+	Snapshot     *wireSnapshot
+}
+
+// wireRecord is one record of a journal: a vote or an entry.
+type wireRecord struct {
+	_        struct{} `cbor:",toarray"`
+	Term     uint64
+	VotedFor wireProcess
+	Entry    *wireEntry
+}
+
+// EncodeMessage returns the CBOR form of a message.
+func EncodeMessage(message Message) ([]byte, error) {
+	h := message.head()
+	w := wireMessage{From: processToWire(h.from), To: processToWire(h.to), Term: h.term}
+	switch m := message.(type) {
+	case VoteRequest:
+		w.Kind, w.Flag, w.Forced, w.Index, w.IndexTerm = voteRequestKind, m.pre, m.forced, m.lastIndex, m.lastTerm
+	case VoteResponse:
+		w.Kind, w.Flag, w.Forced = voteResponseKind, m.pre, m.granted
+	case AppendRequest:
+		w.Kind, w.Index, w.IndexTerm = appendRequestKind, m.previousIndex, m.previousTerm
+		w.Commit, w.ReadSequence = m.commit, m.readSequence
+		for _, entry := range m.entries {
+			w.Entries = append(w.Entries, entryToWire(entry))
+		}
+	case AppendResponse:
+		w.Kind, w.Flag, w.Index, w.ReadSequence = appendResponseKind, m.success, m.index, m.readSequence
+	case SnapshotRequest:
+		s := snapshotToWire(m.snapshot)
+		w.Kind, w.Snapshot = snapshotRequestKind, &s
+	case CampaignRequest:
+		w.Kind = campaignRequestKind
+	default:
+		return nil, errors.Errorf("replicator: unknown message %T", message)
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeMessage is the inverse of EncodeMessage.
+func DecodeMessage(data []byte) (Message, error) {
+	var w wireMessage
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	h := header{processFromWire(w.From), processFromWire(w.To), w.Term}
+	switch w.Kind {
+	case voteRequestKind:
+		return VoteRequest{h, w.Flag, w.Forced, w.Index, w.IndexTerm}, nil
+	case voteResponseKind:
+		return VoteResponse{h, w.Flag, w.Forced}, nil
+	case appendRequestKind:
+		entries, err := consecutive(w.Entries, w.Index+1)
+		return AppendRequest{h, w.Index, w.IndexTerm, entries, w.Commit, w.ReadSequence}, err
+	case appendResponseKind:
+		return AppendResponse{h, w.Flag, w.Index, w.ReadSequence}, nil
+	case snapshotRequestKind:
+		if w.Snapshot == nil {
+			return nil, errors.New("replicator: snapshot request without a snapshot")
+		}
+		return SnapshotRequest{h, snapshotFromWire(*w.Snapshot)}, nil
+	case campaignRequestKind:
+		return CampaignRequest{h}, nil
+	default:
+		return nil, errors.Errorf("replicator: unknown kind of message %d", w.Kind)
+	}
+}
+
+// consecutive refuses entries that do not follow each other from first on.
+func consecutive(wire []wireEntry, first uint64) ([]Entry, error) {
+	entries := make([]Entry, 0, len(wire))
+	for i, w := range wire {
+		if w.Index != first+uint64(i) {
+			return nil, errors.Errorf("replicator: entry %d where %d was expected", w.Index, first+uint64(i))
+		}
+		entries = append(entries, entryFromWire(w))
+	}
+	return entries, nil
+}
+
+// EncodeVote returns the journal record of a vote.
+func EncodeVote(v Vote) ([]byte, error) {
+	return encoder.Marshal(wireRecord{Term: v.term, VotedFor: processToWire(v.votedFor)})
+}
+
+// EncodeEntry returns the journal record of an entry.
+func EncodeEntry(e Entry) ([]byte, error) {
+	w := entryToWire(e)
+	return encoder.Marshal(wireRecord{Entry: &w})
+}
+
+// EncodeSnapshot returns the journal's form of a snapshot.
+func EncodeSnapshot(s Snapshot) ([]byte, error) { return encoder.Marshal(snapshotToWire(s)) }
+
+// Recover rebuilds a member's durable state from its journal.
+func Recover(snapshot []byte, records [][]byte) (Recovered, error) {
+	var recovered Recovered
+	if snapshot != nil {
+		var w wireSnapshot
+		if err := encoder.Unmarshal(snapshot, &w); err != nil {
+			return Recovered{}, errors.Wrap(err, "snapshot")
+		}
+		recovered.Snapshot = snapshotFromWire(w)
+	}
+	for i, record := range records {
+		var w wireRecord
+		if err := encoder.Unmarshal(record, &w); err != nil {
+			return Recovered{}, errors.Wrapf(err, "record %d", i)
+		}
+		if w.Entry == nil {
+			recovered.Vote = Vote{w.Term, processFromWire(w.VotedFor)}
+			continue
+		}
+		recovered.Entries = append(recovered.Entries, entryFromWire(*w.Entry))
+	}
+	return recovered, nil
+}
+
+func encodeMembership(m Membership) ([]byte, error) { return encoder.Marshal(membershipToWire(m)) }
+
+func decodeMembership(data []byte) (Membership, error) {
+	var w wireMembership
+	err := encoder.Unmarshal(data, &w)
+	return membershipFromWire(w), err
+}
+
+func processToWire(p identifier.Process) wireProcess {
+	return wireProcess{VM: p.VM(), Incarnation: p.Incarnation()}
+}
+
+func processFromWire(w wireProcess) identifier.Process {
+	return identifier.NewProcess(w.VM, w.Incarnation)
+}
+
+func processesToWire(processes []identifier.Process) []wireProcess {
+	var wire []wireProcess
+	for _, p := range processes {
+		wire = append(wire, processToWire(p))
+	}
+	return wire
+}
+
+func processesFromWire(wire []wireProcess) []identifier.Process {
+	var processes []identifier.Process
+	for _, w := range wire {
+		processes = append(processes, processFromWire(w))
+	}
+	return processes
+}
+
+func membershipToWire(m Membership) wireMembership {
+	return wireMembership{Voters: processesToWire(m.voters), Learners: processesToWire(m.learners)}
+}
+
+func membershipFromWire(w wireMembership) Membership {
+	return Membership{processesFromWire(w.Voters), processesFromWire(w.Learners)}
+}
+
+func entryToWire(e Entry) wireEntry {
+	return wireEntry{Index: e.index, Term: e.term, Kind: uint8(e.kind), Data: e.data}
+}
+
+func entryFromWire(w wireEntry) Entry { return Entry{w.Index, w.Term, Kind(w.Kind), w.Data} }
+
+func snapshotToWire(s Snapshot) wireSnapshot {
+	return wireSnapshot{Index: s.index, Term: s.term, Membership: membershipToWire(s.membership), Data: s.data}
+}
+
+func snapshotFromWire(w wireSnapshot) Snapshot {
+	return Snapshot{w.Index, w.Term, membershipFromWire(w.Membership), w.Data}
+}
--- /dev/null
+++ b/pkg/protocol/encoder/encoder.go
@@ -0,0 +1,51 @@
+// Package encoder encodes values as CBOR, in one deterministic way and with
+// limits on what a peer can make this process allocate.
+package encoder
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	maxArrayElements = 1 << 22
+	maxNestedLevels  = 16
+)
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// Marshal returns the deterministic CBOR form of a wire value.
+func Marshal(v any) ([]byte, error) {
+	data, err := encMode.Marshal(v)
+	return data, errors.Wrap(err, "encode CBOR")
+}
+
+// Unmarshal decodes CBOR into a wire value. Malformed data, trailing bytes and
+// duplicate keys are errors.
+func Unmarshal(data []byte, v any) error {
+	return errors.Wrap(decMode.Unmarshal(data, v), "decode CBOR")
+}
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // constant options
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	options := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxArrayElements,
+		MaxNestedLevels:  maxNestedLevels,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err) // constant options
+	}
+	return mode
+}
--- /dev/null
+++ b/pkg/state/applier/applier.go
@@ -0,0 +1,355 @@
+// Package applier is the state machine behind the replicated log: it applies
+// commands to the archive of tickets, the ledger and the table of claims.
+//
+// It is deterministic: the same commands in the same order lead to the same
+// state on every control VM. The time comes with each command and never runs
+// backwards.
+package applier
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/coordination/claimer"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/pricer"
+)
+
+// Command changes the state. It is sealed: SubmitTicket, Lower, CancelLowering,
+// Lapse and Batch are its only variants.
+type Command interface{ isCommand() }
+
+// SubmitTicket puts a ticket into force.
+type SubmitTicket struct{ ticket archiver.Ticket }
+
+// Lower makes routers return grants so that an account can be lowered.
+type Lower struct {
+	account string
+	total   pricer.Amount
+}
+
+// CancelLowering undoes Lower.
+type CancelLowering struct{ account string }
+
+// Lapse takes back what a router holds of an account, once its right to reserve
+// from it has ended.
+type Lapse struct {
+	router  identifier.Process
+	account string
+}
+
+func (SubmitTicket) isCommand()   {}
+func (Lower) isCommand()          {}
+func (CancelLowering) isCommand() {}
+func (Lapse) isCommand()          {}
+func (Batch) isCommand()          {}
+
+// NewSubmitTicket returns the command that puts the ticket into force.
+func NewSubmitTicket(t archiver.Ticket) SubmitTicket { return SubmitTicket{t} }
+
+// NewLower returns the command that prepares lowering the account.
+func NewLower(account string, total pricer.Amount) Lower { return Lower{account, total} }
+
+// NewCancelLowering returns the command that undoes Lower.
+func NewCancelLowering(account string) CancelLowering { return CancelLowering{account} }
+
+// NewLapse returns the command that takes back what a router holds.
+func NewLapse(router identifier.Process, account string) Lapse { return Lapse{router, account} }
+
+// Opening records an intent and, for a keyed request, claims the key.
+type Opening struct {
+	intent      bookkeeper.Intent
+	key         claimer.Key
+	fingerprint claimer.Fingerprint
+}
+
+// NewOpening returns an opening. The key is zero for a request without one.
+func NewOpening(i bookkeeper.Intent, key claimer.Key, fingerprint claimer.Fingerprint) Opening {
+	return Opening{i, key, fingerprint}
+}
+
+// Intent returns the intent to record.
+func (o Opening) Intent() bookkeeper.Intent { return o.intent }
+
+// Closing settles a request and keeps its answer if it was keyed.
+type Closing struct {
+	settlement bookkeeper.Settlement
+	answer     claimer.Answer
+}
+
+// NewClosing returns a closing. The answer is zero if it is not to be kept.
+func NewClosing(s bookkeeper.Settlement, answer claimer.Answer) Closing { return Closing{s, answer} }
+
+// Settlement returns the settlement.
+func (c Closing) Settlement() bookkeeper.Settlement { return c.settlement }
+
+// Batch is what a router reports in one message.
+type Batch struct {
+	router      identifier.Process
+	register    bool
+	closedBelow uint64
+	openings    []Opening
+	closings    []Closing
+	draws       []bookkeeper.Draw
+}
+
+// BatchConfig holds the parts of a batch.
+type BatchConfig struct {
+	// Router is the process that reports.
+	Router identifier.Process
+	// Register makes the process the current one of its VM.
+	Register bool
+	// ClosedBelow is the sequence number below which all requests of the router
+	// are settled and known to be so by the ledger.
+	ClosedBelow uint64
+	// Draws, Openings and Closings are applied in this order.
+	Draws    []bookkeeper.Draw
+	Openings []Opening
+	Closings []Closing
+}
+
+// NewBatch returns a batch with the given parts.
+func NewBatch(c BatchConfig) Batch {
+	return Batch{
+		router:      c.Router,
+		register:    c.Register,
+		closedBelow: c.ClosedBelow,
+		openings:    c.Openings,
+		closings:    c.Closings,
+		draws:       c.Draws,
+	}
+}
+
+// Router returns the process that reports.
+func (b Batch) Router() identifier.Process { return b.router }
+
+// Draws returns the draws of the batch.
+func (b Batch) Draws() []bookkeeper.Draw { return b.draws }
+
+// OpeningOutcome is the outcome of an opening. It is sealed: Opened, Refused
+// and Claimed are its only variants.
+type OpeningOutcome interface{ isOpeningOutcome() }
+
+// Opened means that the request may be sent.
+type Opened struct{}
+
+// Refused means that the request must not be sent.
+type Refused struct{ reason string }
+
+// Claimed means that the key is taken; the claim's outcome says by what.
+type Claimed struct{ outcome claimer.Outcome }
+
+func (Opened) isOpeningOutcome()  {}
+func (Refused) isOpeningOutcome() {}
+func (Claimed) isOpeningOutcome() {}
+
+// Reason returns why the request must not be sent.
+func (r Refused) Reason() string { return r.reason }
+
+// Outcome returns the outcome of the claim.
+func (c Claimed) Outcome() claimer.Outcome { return c.outcome }
+
+// BatchResult answers a batch. Its parts are in the order of the batch's parts.
+type BatchResult struct {
+	refusal  string
+	openings []OpeningOutcome
+	grants   []bookkeeper.Grant
+}
+
+// Refusal returns why the whole batch was refused, or "".
+func (r BatchResult) Refusal() string { return r.refusal }
+
+// Openings returns the outcomes of the openings.
+func (r BatchResult) Openings() []OpeningOutcome { return r.openings }
+
+// Grants returns the answers to the draws. A draw on an unknown account has
+// none.
+func (r BatchResult) Grants() []bookkeeper.Grant { return r.grants }
+
+// Result is what applying a command led to. It is sealed: TicketResult,
+// BatchResult and Done are its only variants.
+type Result interface{ isResult() }
+
+// TicketResult is the outcome of SubmitTicket.
+type TicketResult struct{ submission archiver.Submission }
+
+// Done is the result of commands that cannot fail.
+type Done struct{}
+
+func (TicketResult) isResult() {}
+func (BatchResult) isResult()  {}
+func (Done) isResult()         {}
+
+// Submission returns what became of the ticket.
+func (t TicketResult) Submission() archiver.Submission { return t.submission }
+
+// Config configures a state.
+type Config struct {
+	// Ledger configures the ledger.
+	Ledger bookkeeper.Config
+	// Claims configures the table of claims.
+	Claims claimer.Config
+}
+
+// State is the state of control. It is not safe for concurrent use.
+type State struct {
+	config  Config
+	now     time.Time
+	archive *archiver.Archive
+	ledger  *bookkeeper.Ledger
+	claims  *claimer.Table
+}
+
+// New returns the state before any command.
+func New(config Config) *State {
+	return &State{
+		config:  config,
+		archive: &archiver.Archive{},
+		ledger:  bookkeeper.New(config.Ledger),
+		claims:  claimer.New(config.Claims),
+	}
+}
+
+// Archive returns the tickets.
+func (s *State) Archive() *archiver.Archive { return s.archive }
+
+// Ledger returns the ledger.
+func (s *State) Ledger() *bookkeeper.Ledger { return s.ledger }
+
+// Claims returns the claims.
+func (s *State) Claims() *claimer.Table { return s.claims }
+
+// Apply applies a command that was proposed at the given time.
+func (s *State) Apply(command Command, at time.Time) Result {
+	if at.After(s.now) {
+		s.now = at
+	}
+	switch c := command.(type) {
+	case SubmitTicket:
+		return TicketResult{s.submit(c.ticket)}
+	case Lower:
+		s.ledger.BeginLowering(c.account, c.total)
+		return Done{}
+	case CancelLowering:
+		s.ledger.CancelLowering(c.account)
+		return Done{}
+	case Lapse:
+		s.ledger.Lapse(c.router, c.account)
+		return Done{}
+	case Batch:
+		return s.applyBatch(c)
+	default:
+		panic(fmt.Sprintf("applier: unknown command %T", command))
+	}
+}
+
+// CheckTicket says what submitting the ticket would lead to.
+func (s *State) CheckTicket(t archiver.Ticket) archiver.Submission {
+	outcome := s.archive.Check(t)
+	if _, ok := outcome.(archiver.Accepted); !ok {
+		return outcome
+	}
+	for account, total := range s.Totals(t) {
+		if err := s.ledger.CheckPrepaid(account, total); err != nil {
+			return archiver.NewInvalid(err.Error())
+		}
+	}
+	return outcome
+}
+
+// Totals returns the prepaid totals of all accounts that the ticket touches. A
+// budget that the ticket drops has a total of zero.
+func (s *State) Totals(t archiver.Ticket) map[string]pricer.Amount {
+	totals := map[string]pricer.Amount{}
+	next := map[string]bool{}
+	for _, o := range t.Organisations() {
+		next[o.Name()] = true
+	}
+	for _, o := range s.archive.Current().Organisations() {
+		if next[o.Name()] {
+			for _, b := range o.Budgets() {
+				totals[archiver.AccountName(o.Name(), b.Name())] = 0
+			}
+		}
+	}
+	for _, o := range t.Organisations() {
+		for _, b := range o.Budgets() {
+			totals[archiver.AccountName(o.Name(), b.Name())] = b.Prepaid()
+		}
+	}
+	return totals
+}
+
+func (s *State) submit(t archiver.Ticket) archiver.Submission {
+	outcome := s.CheckTicket(t)
+	if _, ok := outcome.(archiver.Accepted); !ok {
+		return outcome
+	}
+	for account, total := range s.Totals(t) {
+		if err := s.ledger.SetPrepaid(account, total); err != nil {
+			panic(err) // CheckTicket has just accepted it
+		}
+	}
+	return s.archive.Submit(t)
+}
+
+func (s *State) applyBatch(b Batch) BatchResult {
+	s.claims.Expire(s.now)
+	if b.register {
+		if err := s.ledger.Register(b.router); err != nil {
+			return BatchResult{refusal: err.Error()}
+		}
+	}
+	if !s.ledger.IsCurrent(b.router) {
+		return BatchResult{refusal: bookkeeper.ErrRetired.Error()}
+	}
+	var result BatchResult
+	for _, draw := range b.draws {
+		if grant, err := s.ledger.Draw(b.router, draw); err == nil {
+			result.grants = append(result.grants, grant)
+		}
+	}
+	for _, opening := range b.openings {
+		result.openings = append(result.openings, s.open(opening))
+	}
+	for _, closing := range b.closings {
+		s.close(closing)
+	}
+	s.ledger.CloseBelow(b.router, b.closedBelow)
+	return result
+}
+
+func (s *State) open(o Opening) OpeningOutcome {
+	if !o.key.IsZero() {
+		outcome := s.claims.Claim(o.key, o.fingerprint, o.intent.Request(), s.now)
+		if _, ok := outcome.(claimer.Granted); !ok {
+			return Claimed{outcome}
+		}
+	}
+	if err := s.ledger.Open(o.intent); err != nil {
+		s.claims.Release(o.intent.Request())
+		return Refused{err.Error()}
+	}
+	return Opened{}
+}
+
+// close settles a request. Settling it again changes nothing.
+func (s *State) close(c Closing) {
+	request := c.settlement.Intent().Request()
+	err := s.ledger.Settle(c.settlement)
+	if err != nil && !errors.Is(err, bookkeeper.ErrClosed) {
+		return // the router is unknown: its requests were settled long ago
+	}
+	if _, unrun := c.settlement.Basis().(bookkeeper.Unrun); unrun {
+		s.claims.Release(request)
+		return
+	}
+	s.claims.Finish(request, c.answer, s.now)
+}
+
+// Account returns the account that is to be lowered.
+func (l Lower) Account() string { return l.account }
--- /dev/null
+++ b/pkg/state/applier/codec.go
@@ -0,0 +1,312 @@
+package applier
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/coordination/claimer"
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/pricer"
+)
+
+type wireOpening struct {
+	_            struct{} `cbor:",toarray"`
+	Intent       bookkeeper.WireIntent
+	Organisation string
+	Key          string
+	Fingerprint  []byte
+}
+
+type wireClosing struct {
+	_          struct{} `cbor:",toarray"`
+	Settlement bookkeeper.WireSettlement
+	Answer     *claimer.WireAnswer
+}
+
+type wireBatch struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	Register    bool
+	ClosedBelow uint64
+	Openings    []wireOpening
+	Closings    []wireClosing
+	Draws       []bookkeeper.WireDraw
+}
+
+type wireLowering struct {
+	_       struct{} `cbor:",toarray"`
+	Account string
+	Total   int64
+	Cancel  bool
+}
+
+type wireLapse struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	Account     string
+}
+
+// wireCommand has exactly one of its last four fields.
+type wireCommand struct {
+	_        struct{} `cbor:",toarray"`
+	AtMillis int64
+	Ticket   []byte
+	Lowering *wireLowering
+	Lapse    *wireLapse
+	Batch    *wireBatch
+}
+
+type wireOpeningOutcome struct {
+	_       struct{} `cbor:",toarray"`
+	Refusal string
+	Claim   *claimer.WireOutcome
+}
+
+type wireBatchResult struct {
+	_        struct{} `cbor:",toarray"`
+	Refusal  string
+	Openings []wireOpeningOutcome
+	Grants   []bookkeeper.WireGrant
+}
+
+type wireState struct {
+	_         struct{} `cbor:",toarray"`
+	NowMillis int64
+	Tickets   [][]byte
+	Ledger    []byte
+	Claims    []byte
+}
+
+// EncodeCommand returns the form of a command in the replicated log.
+func EncodeCommand(command Command, at time.Time) ([]byte, error) {
+	w := wireCommand{AtMillis: at.UnixMilli()}
+	switch c := command.(type) {
+	case SubmitTicket:
+		w.Ticket = archiver.Encode(c.ticket)
+	case Lower:
+		w.Lowering = &wireLowering{Account: c.account, Total: int64(c.total)}
+	case CancelLowering:
+		w.Lowering = &wireLowering{Account: c.account, Cancel: true}
+	case Lapse:
+		w.Lapse = &wireLapse{VM: c.router.VM(), Incarnation: c.router.Incarnation(), Account: c.account}
+	case Batch:
+		batch := batchToWire(c)
+		w.Batch = &batch
+	default:
+		return nil, errors.Errorf("applier: unknown command %T", command)
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeCommand is the inverse of EncodeCommand.
+func DecodeCommand(data []byte) (Command, time.Time, error) {
+	var w wireCommand
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return nil, time.Time{}, err
+	}
+	at := time.UnixMilli(w.AtMillis).UTC()
+	switch {
+	case w.Ticket != nil:
+		ticket, err := archiver.Decode(w.Ticket)
+		return SubmitTicket{ticket}, at, err
+	case w.Lowering != nil && w.Lowering.Cancel:
+		return CancelLowering{w.Lowering.Account}, at, nil
+	case w.Lowering != nil:
+		return Lower{w.Lowering.Account, pricer.Amount(w.Lowering.Total)}, at, nil
+	case w.Lapse != nil:
+		return Lapse{identifier.NewProcess(w.Lapse.VM, w.Lapse.Incarnation), w.Lapse.Account}, at, nil
+	case w.Batch != nil:
+		batch, err := batchFromWire(*w.Batch)
+		return batch, at, err
+	default:
+		return nil, time.Time{}, errors.New("applier: empty command")
+	}
+}
+
+// EncodeBatch returns the CBOR form of a batch.
+func EncodeBatch(b Batch) ([]byte, error) { return encoder.Marshal(batchToWire(b)) }
+
+// DecodeBatch is the inverse of EncodeBatch.
+func DecodeBatch(data []byte) (Batch, error) {
+	var w wireBatch
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return Batch{}, err
+	}
+	return batchFromWire(w)
+}
+
+// EncodeBatchResult returns the CBOR form of the answer to a batch.
+func EncodeBatchResult(r BatchResult) ([]byte, error) {
+	w := wireBatchResult{Refusal: r.refusal}
+	for _, opening := range r.openings {
+		switch o := opening.(type) {
+		case Opened:
+			w.Openings = append(w.Openings, wireOpeningOutcome{})
+		case Refused:
+			w.Openings = append(w.Openings, wireOpeningOutcome{Refusal: o.reason})
+		case Claimed:
+			claim := claimer.OutcomeToWire(o.outcome)
+			w.Openings = append(w.Openings, wireOpeningOutcome{Claim: &claim})
+		default:
+			return nil, errors.Errorf("applier: unknown outcome %T", opening)
+		}
+	}
+	for _, grant := range r.grants {
+		w.Grants = append(w.Grants, bookkeeper.GrantToWire(grant))
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeBatchResult is the inverse of EncodeBatchResult.
+func DecodeBatchResult(data []byte) (BatchResult, error) {
+	var w wireBatchResult
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return BatchResult{}, err
+	}
+	r := BatchResult{refusal: w.Refusal}
+	for _, wire := range w.Openings {
+		switch {
+		case wire.Claim != nil:
+			outcome, err := claimer.OutcomeFromWire(*wire.Claim)
+			if err != nil {
+				return BatchResult{}, err
+			}
+			r.openings = append(r.openings, Claimed{outcome})
+		case wire.Refusal != "":
+			r.openings = append(r.openings, Refused{wire.Refusal})
+		default:
+			r.openings = append(r.openings, Opened{})
+		}
+	}
+	for _, wire := range w.Grants {
+		grant, err := bookkeeper.GrantFromWire(wire)
+		if err != nil {
+			return BatchResult{}, err
+		}
+		r.grants = append(r.grants, grant)
+	}
+	return r, nil
+}
+
+// Snapshot returns the CBOR form of the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	w := wireState{NowMillis: s.now.UnixMilli()}
+	for _, ticket := range s.archive.Tickets() {
+		w.Tickets = append(w.Tickets, archiver.Encode(ticket))
+	}
+	var err error
+	if w.Ledger, err = s.ledger.Snapshot(); err != nil {
+		return nil, err
+	}
+	if w.Claims, err = s.claims.Snapshot(); err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(w)
+}
+
+// Restore returns the state of a snapshot. An empty snapshot is the state
+// before any command.
+func Restore(config Config, data []byte) (*State, error) {
+	s := New(config)
+	if len(data) == 0 {
+		return s, nil
+	}
+	var w wireState
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	s.now = time.UnixMilli(w.NowMillis).UTC()
+	for _, encoded := range w.Tickets {
+		ticket, err := archiver.Decode(encoded)
+		if err != nil {
+			return nil, errors.Wrap(err, "snapshot")
+		}
+		s.archive.Submit(ticket)
+	}
+	var err error
+	if s.ledger, err = bookkeeper.Restore(config.Ledger, w.Ledger); err != nil {
+		return nil, err
+	}
+	s.claims, err = claimer.Restore(config.Claims, w.Claims)
+	return s, err
+}
+
+func batchToWire(b Batch) wireBatch {
+	w := wireBatch{
+		VM:          b.router.VM(),
+		Incarnation: b.router.Incarnation(),
+		Register:    b.register,
+		ClosedBelow: b.closedBelow,
+	}
+	for _, o := range b.openings {
+		wire := wireOpening{Intent: bookkeeper.IntentToWire(o.intent)}
+		if !o.key.IsZero() {
+			wire.Organisation, wire.Key = o.key.Organisation(), o.key.Key()
+			wire.Fingerprint = o.fingerprint[:]
+		}
+		w.Openings = append(w.Openings, wire)
+	}
+	for _, c := range b.closings {
+		wire := wireClosing{Settlement: bookkeeper.SettlementToWire(c.settlement)}
+		if !c.answer.IsZero() {
+			answer := claimer.AnswerToWire(c.answer)
+			wire.Answer = &answer
+		}
+		w.Closings = append(w.Closings, wire)
+	}
+	for _, d := range b.draws {
+		w.Draws = append(w.Draws, bookkeeper.DrawToWire(d))
+	}
+	return w
+}
+
+func batchFromWire(w wireBatch) (Batch, error) {
+	if w.VM == "" {
+		return Batch{}, errors.New("malformed batch: no router")
+	}
+	b := Batch{
+		router:      identifier.NewProcess(w.VM, w.Incarnation),
+		register:    w.Register,
+		closedBelow: w.ClosedBelow,
+	}
+	for _, wire := range w.Openings {
+		intent, err := bookkeeper.IntentFromWire(wire.Intent)
+		if err != nil {
+			return Batch{}, err
+		}
+		o := Opening{intent: intent}
+		if wire.Key != "" {
+			if len(wire.Fingerprint) != len(o.fingerprint) {
+				return Batch{}, errors.New("malformed opening: fingerprint")
+			}
+			o.key = claimer.NewKey(wire.Organisation, wire.Key)
+			o.fingerprint = claimer.Fingerprint(wire.Fingerprint)
+		}
+		b.openings = append(b.openings, o)
+	}
+	for _, wire := range w.Closings {
+		settlement, err := bookkeeper.SettlementFromWire(wire.Settlement)
+		if err != nil {
+			return Batch{}, err
+		}
+		c := Closing{settlement: settlement}
+		if wire.Answer != nil {
+			c.answer = claimer.AnswerFromWire(*wire.Answer)
+		}
+		b.closings = append(b.closings, c)
+	}
+	for _, wire := range w.Draws {
+		draw, err := bookkeeper.DrawFromWire(wire)
+		if err != nil {
+			return Batch{}, err
+		}
+		b.draws = append(b.draws, draw)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/pkg/state/archiver/archive.go
@@ -0,0 +1,151 @@
+package archiver
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Submission is the outcome of submitting a ticket. It is sealed: Accepted,
+// Repeated, NumberTaken, NumberTooLow and Invalid are its only variants.
+type Submission interface{ isSubmission() }
+
+// Accepted means that the ticket is now in force.
+type Accepted struct{}
+
+// Repeated means that the same ticket was accepted earlier.
+type Repeated struct{}
+
+// NumberTaken means that another ticket has the number.
+type NumberTaken struct{ hash string }
+
+// NumberTooLow means that a ticket with a higher number is in force.
+type NumberTooLow struct{ newest uint64 }
+
+// Invalid means that the ticket does not fit to what is in force.
+type Invalid struct{ reason string }
+
+func (Accepted) isSubmission()     {}
+func (Repeated) isSubmission()     {}
+func (NumberTaken) isSubmission()  {}
+func (NumberTooLow) isSubmission() {}
+func (Invalid) isSubmission()      {}
+
+// Hash returns the hash of the ticket that has the number.
+func (n NumberTaken) Hash() string { return n.hash }
+
+// Newest returns the highest number in force.
+func (n NumberTooLow) Newest() uint64 { return n.newest }
+
+// Reason returns what does not fit.
+func (i Invalid) Reason() string { return i.reason }
+
+// Archive keeps the accepted tickets in order. It is not safe for concurrent
+// use, but the configurations that it returns are.
+type Archive struct {
+	tickets []Ticket
+	current Configuration
+}
+
+// Current returns the configuration in force.
+func (a *Archive) Current() Configuration { return a.current }
+
+// Check says what submitting the ticket would lead to.
+func (a *Archive) Check(t Ticket) Submission {
+	if earlier, ok := a.Ticket(t.number); ok {
+		if Hash(earlier) == Hash(t) {
+			return Repeated{}
+		}
+		return NumberTaken{Hash(earlier)}
+	}
+	if t.number <= a.current.number {
+		return NumberTooLow{a.current.number}
+	}
+	if reason := fits(a.current, t); reason != "" {
+		return Invalid{reason}
+	}
+	return Accepted{}
+}
+
+// Submit puts the ticket into force if it is acceptable.
+func (a *Archive) Submit(t Ticket) Submission {
+	outcome := a.Check(t)
+	if _, ok := outcome.(Accepted); ok {
+		a.tickets = append(a.tickets, t)
+		a.current = a.current.With(t)
+	}
+	return outcome
+}
+
+// Ticket returns the accepted ticket with the number.
+func (a *Archive) Ticket(number uint64) (Ticket, bool) {
+	i, ok := slices.BinarySearchFunc(a.tickets, number, func(t Ticket, n uint64) int {
+		return cmp.Compare(t.number, n)
+	})
+	if !ok {
+		return Ticket{}, false
+	}
+	return a.tickets[i], true
+}
+
+// Tickets returns all accepted tickets, oldest first.
+func (a *Archive) Tickets() []Ticket { return slices.Clone(a.tickets) }
+
+// After returns the tickets with a number above the given one.
+func (a *Archive) After(number uint64) []Ticket {
+	i, ok := slices.BinarySearchFunc(a.tickets, number, func(t Ticket, n uint64) int {
+		return cmp.Compare(t.number, n)
+	})
+	if ok {
+		i++
+	}
+	return slices.Clone(a.tickets[i:])
+}
+
+// InForceAt returns the configuration that was in force from the ticket with
+// the number on.
+func (a *Archive) InForceAt(number uint64) (Configuration, bool) {
+	if _, ok := a.Ticket(number); !ok {
+		return Configuration{}, false
+	}
+	var c Configuration
+	for _, t := range a.tickets {
+		if t.number <= number {
+			c = c.With(t)
+		}
+	}
+	return c, true
+}
+
+func compareRules(a, b Rule) int {
+	return cmp.Or(
+		cmp.Compare(a.organisation, b.organisation),
+		cmp.Compare(a.service, b.service),
+		cmp.Compare(a.work, b.work),
+	)
+}
+
+// fits returns why the ticket cannot follow the configuration, or "".
+func fits(c Configuration, t Ticket) string {
+	next := c.With(t)
+	for _, rule := range t.rules {
+		if _, ok := next.organisations[rule.organisation]; !ok {
+			return "a rule names the unknown organisation " + rule.organisation
+		}
+		if _, ok := next.services[rule.service]; !ok {
+			return "a rule names the unknown service " + rule.service
+		}
+	}
+	owners := map[[32]byte]string{}
+	for _, o := range next.Organisations() {
+		for _, key := range o.keys {
+			if owner, ok := owners[key.hash]; ok {
+				return "the organisations " + owner + " and " + o.name + " have the same key"
+			}
+			owners[key.hash] = o.name
+		}
+	}
+	return ""
+}
+
+// NewInvalid returns the outcome for a ticket that does not fit.
+func NewInvalid(reason string) Invalid { return Invalid{reason} }
--- /dev/null
+++ b/pkg/state/bookkeeper/codec.go
@@ -0,0 +1,359 @@
+package bookkeeper
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/pricer"
+)
+
+// WireIntent is the CBOR form of an Intent.
+type WireIntent struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	Sequence    uint64
+	Account     string
+	Service     string
+	Work        string
+	Reserve     int64
+}
+
+// WireSettlement is the CBOR form of a Settlement.
+type WireSettlement struct {
+	_                struct{} `cbor:",toarray"`
+	Intent           WireIntent
+	Amount           int64
+	PromptTokens     int64
+	CompletionTokens int64
+	Target           string
+	Basis            string
+	AtMillis         int64
+}
+
+// WireDraw is the CBOR form of a Draw.
+type WireDraw struct {
+	_        struct{} `cbor:",toarray"`
+	Account  string
+	Sequence uint64
+	Want     int64
+	Demand   int64
+	Returned int64
+	Sent     int64
+	Received int64
+}
+
+// WireGrant is the CBOR form of a Grant.
+type WireGrant struct {
+	_        struct{} `cbor:",toarray"`
+	Account  string
+	Granted  int64
+	Returned int64
+	Keep     int64
+	Prospect uint8
+}
+
+const (
+	wireCovered uint8 = iota + 1
+	wirePending
+	wireExhausted
+)
+
+type wireHolder struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	Amounts     [8]int64
+	Sequence    uint64
+}
+
+type wireAccount struct {
+	_              struct{} `cbor:",toarray"`
+	Name           string
+	Prepaid        int64
+	Allocated      int64
+	Charged        int64
+	Reserved       int64
+	BroughtForward int64
+	Lowering       bool
+	LowerTo        int64
+	Holders        []wireHolder
+	Charges        []WireSettlement
+}
+
+type wireRouter struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	Retired     bool
+	ClosedBelow uint64
+	Closed      []uint64
+}
+
+type wireLedger struct {
+	_        struct{} `cbor:",toarray"`
+	Accounts []wireAccount
+	Routers  []wireRouter
+	Intents  []WireIntent
+}
+
+// IntentToWire returns the CBOR form of the intent.
+func IntentToWire(i Intent) WireIntent {
+	return WireIntent{
+		VM:          i.request.Router().VM(),
+		Incarnation: i.request.Router().Incarnation(),
+		Sequence:    i.request.Sequence(),
+		Account:     i.account,
+		Service:     i.service,
+		Work:        i.work,
+		Reserve:     int64(i.reserve),
+	}
+}
+
+// IntentFromWire is the inverse of IntentToWire.
+func IntentFromWire(w WireIntent) (Intent, error) {
+	if w.VM == "" || w.Sequence == 0 || w.Reserve < 0 {
+		return Intent{}, errors.New("malformed intent")
+	}
+	request := identifier.NewRequest(identifier.NewProcess(w.VM, w.Incarnation), w.Sequence)
+	return Intent{request, w.Account, w.Service, w.Work, pricer.Amount(w.Reserve)}, nil
+}
+
+// SettlementToWire returns the CBOR form of the settlement.
+func SettlementToWire(s Settlement) WireSettlement {
+	return WireSettlement{
+		Intent:           IntentToWire(s.intent),
+		Amount:           int64(s.amount),
+		PromptTokens:     s.usage.PromptTokens(),
+		CompletionTokens: s.usage.CompletionTokens(),
+		Target:           s.target,
+		Basis:            s.basis.String(),
+		AtMillis:         s.at.UnixMilli(),
+	}
+}
+
+// SettlementFromWire is the inverse of SettlementToWire.
+func SettlementFromWire(w WireSettlement) (Settlement, error) {
+	intent, err := IntentFromWire(w.Intent)
+	if err != nil {
+		return Settlement{}, err
+	}
+	usage, err := pricer.NewUsage(w.PromptTokens, w.CompletionTokens)
+	if err != nil {
+		return Settlement{}, err
+	}
+	if w.Amount < 0 {
+		return Settlement{}, errors.New("malformed settlement: negative amount")
+	}
+	basis, err := ParseBasis(w.Basis)
+	if err != nil {
+		return Settlement{}, err
+	}
+	return Settlement{intent, pricer.Amount(w.Amount), usage, w.Target, basis, time.UnixMilli(w.AtMillis).UTC()}, nil
+}
+
+// ParseBasis returns the basis with the given name.
+func ParseBasis(name string) (Basis, error) {
+	for _, basis := range []Basis{Measured{}, Estimated{}, Unrun{}} {
+		if basis.String() == name {
+			return basis, nil
+		}
+	}
+	return nil, errors.Errorf("unknown basis %q of a charge", name)
+}
+
+// DrawToWire returns the CBOR form of the draw.
+func DrawToWire(d Draw) WireDraw {
+	return WireDraw{
+		Account:  d.account,
+		Sequence: d.sequence,
+		Want:     int64(d.want),
+		Demand:   int64(d.demand),
+		Returned: int64(d.returned),
+		Sent:     int64(d.sent),
+		Received: int64(d.received),
+	}
+}
+
+// DrawFromWire is the inverse of DrawToWire.
+func DrawFromWire(w WireDraw) (Draw, error) {
+	for _, amount := range []int64{w.Want, w.Demand, w.Returned, w.Sent, w.Received} {
+		if amount < 0 {
+			return Draw{}, errors.New("malformed draw: negative amount")
+		}
+	}
+	return Draw{
+		account:  w.Account,
+		sequence: w.Sequence,
+		want:     pricer.Amount(w.Want),
+		demand:   pricer.Amount(w.Demand),
+		returned: pricer.Amount(w.Returned),
+		sent:     pricer.Amount(w.Sent),
+		received: pricer.Amount(w.Received),
+	}, nil
+}
+
+// GrantToWire returns the CBOR form of the grant.
+func GrantToWire(g Grant) WireGrant {
+	w := WireGrant{Account: g.account, Granted: int64(g.granted), Returned: int64(g.returned), Keep: int64(g.keep)}
+	switch g.prospect.(type) {
+	case Covered:
+		w.Prospect = wireCovered
+	case Pending:
+		w.Prospect = wirePending
+	case Exhausted:
+		w.Prospect = wireExhausted
+	}
+	return w
+}
+
+// GrantFromWire is the inverse of GrantToWire.
+func GrantFromWire(w WireGrant) (Grant, error) {
+	if w.Granted < 0 || w.Returned < 0 || w.Keep < 0 {
+		return Grant{}, errors.New("malformed grant: negative amount")
+	}
+	g := Grant{
+		account:  w.Account,
+		granted:  pricer.Amount(w.Granted),
+		returned: pricer.Amount(w.Returned),
+		keep:     pricer.Amount(w.Keep),
+	}
+	switch w.Prospect {
+	case wireCovered:
+		g.prospect = Covered{}
+	case wirePending:
+		g.prospect = Pending{}
+	case wireExhausted:
+		g.prospect = Exhausted{}
+	default:
+		return Grant{}, errors.Errorf("malformed grant: unknown prospect %d", w.Prospect)
+	}
+	return g, nil
+}
+
+// Snapshot returns the CBOR form of the whole ledger.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	var w wireLedger
+	for _, name := range l.Accounts() {
+		w.Accounts = append(w.Accounts, accountToWire(name, l.accounts[name]))
+	}
+	for process, r := range l.routers {
+		wire := wireRouter{
+			VM:          process.VM(),
+			Incarnation: process.Incarnation(),
+			Retired:     r.retired,
+			ClosedBelow: r.closedBelow,
+		}
+		for sequence := range r.closed {
+			wire.Closed = append(wire.Closed, sequence)
+		}
+		w.Routers = append(w.Routers, wire)
+	}
+	for _, i := range l.intents {
+		w.Intents = append(w.Intents, IntentToWire(i))
+	}
+	return encoder.Marshal(w)
+}
+
+// Restore returns the ledger of a snapshot.
+func Restore(config Config, data []byte) (*Ledger, error) {
+	var w wireLedger
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	l := New(config)
+	for _, wire := range w.Accounts {
+		a, err := accountFromWire(wire)
+		if err != nil {
+			return nil, errors.Wrapf(err, "account %s", wire.Name)
+		}
+		l.accounts[wire.Name] = a
+	}
+	for _, wire := range w.Routers {
+		process := identifier.NewProcess(wire.VM, wire.Incarnation)
+		r := &router{retired: wire.Retired, closedBelow: wire.ClosedBelow, closed: map[uint64]bool{}}
+		for _, sequence := range wire.Closed {
+			r.closed[sequence] = true
+		}
+		l.routers[process] = r
+		if !r.retired {
+			l.current[wire.VM] = process
+		}
+	}
+	for _, wire := range w.Intents {
+		i, err := IntentFromWire(wire)
+		if err != nil {
+			return nil, err
+		}
+		r, ok := l.routers[i.request.Router()]
+		if !ok {
+			return nil, errors.Errorf("snapshot: intent %s of an unknown router", i.request)
+		}
+		r.open++
+		l.intents[i.request] = i
+	}
+	return l, nil
+}
+
+func accountToWire(name string, a *account) wireAccount {
+	w := wireAccount{
+		Name:           name,
+		Prepaid:        int64(a.prepaid),
+		Allocated:      int64(a.allocated),
+		Charged:        int64(a.charged),
+		Reserved:       int64(a.reserved),
+		BroughtForward: int64(a.broughtForward),
+		Lowering:       a.lowering,
+		LowerTo:        int64(a.lowerTo),
+	}
+	for process, h := range a.holders {
+		w.Holders = append(w.Holders, wireHolder{
+			VM:          process.VM(),
+			Incarnation: process.Incarnation(),
+			Amounts: [8]int64{
+				int64(h.granted), int64(h.returned), int64(h.charged), int64(h.reserved),
+				int64(h.sent), int64(h.received), int64(h.demand), int64(h.want),
+			},
+			Sequence: h.sequence,
+		})
+	}
+	for _, c := range a.charges {
+		intent := Intent{c.request, name, c.service, c.work, c.amount}
+		w.Charges = append(w.Charges, SettlementToWire(Settlement{intent, c.amount, c.usage, c.target, c.basis, c.at}))
+	}
+	return w
+}
+
+func accountFromWire(w wireAccount) (*account, error) {
+	a := &account{
+		prepaid:        pricer.Amount(w.Prepaid),
+		allocated:      pricer.Amount(w.Allocated),
+		charged:        pricer.Amount(w.Charged),
+		reserved:       pricer.Amount(w.Reserved),
+		broughtForward: pricer.Amount(w.BroughtForward),
+		lowering:       w.Lowering,
+		lowerTo:        pricer.Amount(w.LowerTo),
+		holders:        map[identifier.Process]*holder{},
+	}
+	for _, wire := range w.Holders {
+		h := &holder{sequence: wire.Sequence}
+		for i, field := range []*pricer.Amount{
+			&h.granted, &h.returned, &h.charged, &h.reserved, &h.sent, &h.received, &h.demand, &h.want,
+		} {
+			*field = pricer.Amount(wire.Amounts[i])
+		}
+		a.holders[identifier.NewProcess(wire.VM, wire.Incarnation)] = h
+	}
+	for _, wire := range w.Charges {
+		s, err := SettlementFromWire(wire)
+		if err != nil {
+			return nil, err
+		}
+		i := s.intent
+		a.charges = append(a.charges, Charge{i.request, i.service, i.work, s.target, s.usage, s.amount, s.basis, s.at})
+	}
+	return a, nil
+}
--- /dev/null
+++ b/pkg/state/journaler/journaler.go
@@ -0,0 +1,299 @@
+// Package journaler keeps an append-only journal and a snapshot in one folder.
+//
+// A record that Append has returned from is synced to the disk. The records of
+// one Append form a frame with one checksum. A torn tail, left by a crash during a write, is cut off
+// when the journal is opened. Damage in front of intact records is refused,
+// since cutting it off would drop records that were promised.
+//
+// Limit: damage to the very last record looks the same as a torn write.
+package journaler
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	snapshotName = "snapshot"
+	journalName  = "journal"
+	headerBytes  = 8
+	// maxFrameBytes bounds what a damaged length field can ask for.
+	maxFrameBytes = 1 << 30
+	fileMode      = 0o600
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Contents is what a folder held when it was opened.
+type Contents struct {
+	snapshot []byte
+	records  [][]byte
+	cutBytes int64
+}
+
+// Snapshot returns the newest snapshot, or nil if there is none.
+func (c Contents) Snapshot() []byte { return c.snapshot }
+
+// Records returns the records appended since the snapshot, oldest first.
+func (c Contents) Records() [][]byte { return c.records }
+
+// CutBytes returns how many bytes of a torn tail were cut off.
+func (c Contents) CutBytes() int64 { return c.cutBytes }
+
+// Journal is an open journal. It is not safe for concurrent use.
+type Journal struct {
+	folder string
+	file   *os.File
+	bytes  int64
+}
+
+// Open opens the journal in the folder, which must exist, and returns what it
+// holds. An empty folder holds nothing.
+func Open(folder string) (*Journal, Contents, error) {
+	snapshot, generation, err := readSnapshot(filepath.Join(folder, snapshotName))
+	if err != nil {
+		return nil, Contents{}, err
+	}
+	path := journalPath(folder, generation)
+	data, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, Contents{}, errors.Wrap(err, "read journal")
+	}
+	records, intact, err := parse(data)
+	if err != nil {
+		return nil, Contents{}, errors.Wrapf(err, "journal %s", path)
+	}
+	file, err := openForAppend(path, intact)
+	if err != nil {
+		return nil, Contents{}, err
+	}
+	if err := syncFolder(folder); err != nil {
+		return nil, Contents{}, err
+	}
+	j := &Journal{folder: folder, file: file, bytes: intact}
+	return j, Contents{snapshot, records, int64(len(data)) - intact}, nil
+}
+
+// Bytes returns the size of the journal since its last snapshot.
+func (j *Journal) Bytes() int64 { return j.bytes }
+
+// Append writes the records and returns once they are synced. After an error
+// the journal must not be used any more: what reached the disk is unknown.
+func (j *Journal) Append(records [][]byte) error {
+	buffer, err := frame(records)
+	if err != nil {
+		return err
+	}
+	if _, err := j.file.Write(buffer); err != nil {
+		return errors.Wrap(err, "write journal")
+	}
+	if err := j.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync journal")
+	}
+	j.bytes += int64(len(buffer))
+	return nil
+}
+
+// Compact replaces everything by the snapshot and the records that follow it.
+// A crash at any moment leaves either the old contents or the new.
+func (j *Journal) Compact(snapshot []byte, records [][]byte) error {
+	_, generation, err := readSnapshot(filepath.Join(j.folder, snapshotName))
+	if err != nil {
+		return err
+	}
+	next := generation + 1
+	buffer, err := frame(records)
+	if err != nil {
+		return err
+	}
+	if err := writeSynced(journalPath(j.folder, next), buffer); err != nil {
+		return err
+	}
+	if err := j.replaceSnapshot(next, snapshot); err != nil {
+		return err
+	}
+	file, err := openForAppend(journalPath(j.folder, next), int64(len(buffer)))
+	if err != nil {
+		return err
+	}
+	old := j.file
+	j.file, j.bytes = file, int64(len(buffer))
+	if err := old.Close(); err != nil {
+		return errors.Wrap(err, "close old journal")
+	}
+	err = os.Remove(journalPath(j.folder, generation))
+	return errors.Wrap(err, "remove old journal")
+}
+
+// Close closes the journal.
+func (j *Journal) Close() error { return errors.Wrap(j.file.Close(), "close journal") }
+
+// replaceSnapshot renames a synced file into place, which switches to the new
+// generation in one step.
+func (j *Journal) replaceSnapshot(generation uint64, snapshot []byte) error {
+	number := binary.LittleEndian.AppendUint64(nil, generation)
+	buffer, err := frame([][]byte{number, snapshot})
+	if err != nil {
+		return err
+	}
+	temporary := filepath.Join(j.folder, snapshotName+".new")
+	if err := writeSynced(temporary, buffer); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, filepath.Join(j.folder, snapshotName)); err != nil {
+		return errors.Wrap(err, "replace snapshot")
+	}
+	return syncFolder(j.folder)
+}
+
+func journalPath(folder string, generation uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("%s.%d", journalName, generation))
+}
+
+func readSnapshot(path string) ([]byte, uint64, error) {
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read snapshot")
+	}
+	payload, rest, ok := next(data)
+	if !ok || len(rest) != 0 {
+		return nil, 0, errors.Errorf("snapshot %s is damaged: restore this VM as one with a lost disk", path)
+	}
+	parts, err := unpack(payload)
+	if err != nil || len(parts) != 2 || len(parts[0]) != 8 {
+		return nil, 0, errors.Errorf("snapshot %s was written by another program", path)
+	}
+	return parts[1], binary.LittleEndian.Uint64(parts[0]), nil
+}
+
+func openForAppend(path string, size int64) (*os.File, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "open journal")
+	}
+	if err := file.Truncate(size); err != nil {
+		return nil, errors.Wrap(err, "cut torn tail of journal")
+	}
+	if _, err := file.Seek(size, io.SeekStart); err != nil {
+		return nil, errors.Wrap(err, "seek to end of journal")
+	}
+	return file, errors.Wrap(file.Sync(), "sync journal")
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	if _, err := file.Write(data); err != nil {
+		return errors.Wrap(err, "write file")
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(err, "sync file")
+	}
+	return errors.Wrap(file.Close(), "close file")
+}
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "open folder")
+	}
+	defer func() { _ = dir.Close() }() // read-only handle: nothing can be lost
+	return errors.Wrap(dir.Sync(), "sync folder")
+}
+
+// parse returns the intact records and the number of bytes that they take.
+func parse(data []byte) ([][]byte, int64, error) {
+	var records [][]byte
+	rest := data
+	for len(rest) > 0 {
+		payload, after, ok := next(rest)
+		if !ok {
+			break
+		}
+		frame, err := unpack(payload)
+		if err != nil {
+			return nil, 0, err
+		}
+		records = append(records, frame...)
+		rest = after
+	}
+	intact := len(data) - len(rest)
+	if offset, found := findFrame(rest); found {
+		return nil, 0, errors.Errorf(
+			"damaged at byte %d with an intact frame at byte %d: refused, restore this VM as one with a lost disk",
+			intact, intact+offset)
+	}
+	return records, int64(intact), nil
+}
+
+// findFrame looks for an intact frame anywhere behind a damaged one.
+func findFrame(data []byte) (int, bool) {
+	for offset := 1; offset+headerBytes < len(data); offset++ {
+		if _, _, ok := next(data[offset:]); ok {
+			return offset, true
+		}
+	}
+	return 0, false
+}
+
+// next splits the first frame off. An empty frame is not a frame, so that a
+// tail of zeroes counts as torn.
+func next(data []byte) (payload, rest []byte, ok bool) {
+	if len(data) < headerBytes {
+		return nil, nil, false
+	}
+	length := binary.LittleEndian.Uint32(data)
+	if length == 0 || length > maxFrameBytes || int64(length) > int64(len(data)-headerBytes) {
+		return nil, nil, false
+	}
+	payload = data[headerBytes : headerBytes+length]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, nil, false
+	}
+	return payload, data[headerBytes+length:], true
+}
+
+// frame packs the records, each behind its length, under one checksum.
+func frame(records [][]byte) ([]byte, error) {
+	if len(records) == 0 {
+		return nil, nil
+	}
+	buffer := make([]byte, headerBytes)
+	for _, record := range records {
+		buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(record)))
+		buffer = append(buffer, record...)
+	}
+	payload := buffer[headerBytes:]
+	if len(payload) > maxFrameBytes {
+		return nil, errors.Errorf("a frame of %d bytes exceeds the limit of %d", len(payload), maxFrameBytes)
+	}
+	binary.LittleEndian.PutUint32(buffer, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(buffer[4:], crc32.Checksum(payload, castagnoli))
+	return buffer, nil
+}
+
+// unpack is the inverse of frame for the payload.
+func unpack(payload []byte) ([][]byte, error) {
+	var records [][]byte
+	for len(payload) > 0 {
+		if len(payload) < 4 || uint64(binary.LittleEndian.Uint32(payload)) > uint64(len(payload)-4) {
+			return nil, errors.New("a frame with a valid checksum is malformed: written by another program")
+		}
+		length := binary.LittleEndian.Uint32(payload)
+		records = append(records, bytes.Clone(payload[4:4+length]))
+		payload = payload[4+length:]
+	}
+	return records, nil
+}
--- /dev/null
+++ b/pkg/transport/linker/linker.go
@@ -0,0 +1,283 @@
+// Package linker keeps links between the processes of a fleet.
+//
+// A link is a WebSocket connection that carries CBOR frames. Both ends prove
+// that they know the fleet key without sending it. Each end sends heartbeats; a
+// link that stays silent is closed and, if this end dialled it, dialled again,
+// since a new connection may work where an old one has gone silent.
+//
+// Frames of one link arrive in the order in which they were sent. A frame that
+// cannot be queued closes the link, so that no frame is ever missing in the
+// middle.
+package linker
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+// Path is the HTTP path at which a process accepts links.
+const Path = "/link"
+
+// Role is what a process does in the fleet.
+type Role string
+
+// The roles of processes.
+const (
+	Router  Role = "router"
+	Control Role = "control"
+)
+
+// Identity is what a process tells its peers about itself.
+type Identity struct {
+	process    identifier.Process
+	dataCentre string
+	role       Role
+	address    string
+}
+
+// NewIdentity returns the identity of a process. The address is where it
+// accepts links, as host and port.
+func NewIdentity(process identifier.Process, dataCentre string, role Role, address string) Identity {
+	return Identity{process, dataCentre, role, address}
+}
+
+// Process returns the process.
+func (i Identity) Process() identifier.Process { return i.process }
+
+// DataCentre returns the data centre that the process runs in.
+func (i Identity) DataCentre() string { return i.dataCentre }
+
+// Role returns what the process does.
+func (i Identity) Role() Role { return i.role }
+
+// Address returns where the process accepts links.
+func (i Identity) Address() string { return i.address }
+
+// Handler handles a frame from a peer. For a call it returns the answer; for a
+// notice the answer is ignored. Notices of one link are handled one after the
+// other and must not block; calls are handled concurrently.
+type Handler func(ctx context.Context, from *Peer, kind uint8, body []byte) ([]byte, error)
+
+// Clock is a logical clock.
+type Clock interface {
+	// Stamp returns the stamp for a message that is about to be sent.
+	Stamp() uint64
+	// Witness moves the clock past the stamp of a message that was received.
+	Witness(stamp uint64)
+}
+
+type noClock struct{}
+
+func (noClock) Stamp() uint64  { return 0 }
+func (noClock) Witness(uint64) {}
+
+// Config configures an endpoint.
+type Config struct {
+	// Identity is what this process tells its peers. Required.
+	Identity Identity
+	// FleetKey is the secret that all processes of the fleet share. Required.
+	FleetKey []byte
+	// Handle handles frames. Required.
+	Handle Handler
+	// Connected, if set, is called when a link is up.
+	Connected func(*Peer)
+	// Disconnected, if set, is called when a link is down.
+	Disconnected func(*Peer)
+	// TLS, if set, is used for dialling.
+	TLS *tls.Config
+	// HeartbeatInterval is the interval of heartbeats. Default: 700 ms.
+	HeartbeatInterval time.Duration
+	// SilenceLimit is the silence after which a link is closed. Default: 2.5 s.
+	SilenceLimit time.Duration
+	// Clock, if set, orders the events of all processes: its stamps travel with
+	// the messages.
+	Clock Clock
+	// Log receives events. Default: none.
+	Log *zap.Logger
+	// Metrics receives the counters linkBytesSent and linkBytesReceived.
+	// Default: a registry of its own.
+	Metrics metrics.Registry
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Identity.process.IsZero() {
+		return c, errors.New("linker: Config.Identity is missing")
+	}
+	if len(c.FleetKey) == 0 {
+		return c, errors.New("linker: Config.FleetKey is missing")
+	}
+	if c.Handle == nil {
+		return c, errors.New("linker: Config.Handle is missing")
+	}
+	if c.HeartbeatInterval == 0 {
+		c.HeartbeatInterval = 700 * time.Millisecond
+	}
+	if c.SilenceLimit == 0 {
+		c.SilenceLimit = 2500 * time.Millisecond
+	}
+	if c.Clock == nil {
+		c.Clock = noClock{}
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	return c, nil
+}
+
+// Endpoint is this process's end of all its links.
+type Endpoint struct {
+	config   Config
+	client   *http.Client
+	sent     metrics.Counter
+	received metrics.Counter
+
+	mutex    sync.Mutex
+	closed   bool
+	peers    map[identifier.Process]*Peer
+	dialers  map[string]*dialer
+	inFlight sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// New returns an endpoint without links.
+func New(config Config) (*Endpoint, error) {
+	config, err := config.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Endpoint{
+		config:   config,
+		client:   &http.Client{Transport: &http.Transport{TLSClientConfig: config.TLS, Proxy: nil}},
+		sent:     metrics.GetOrRegisterCounter("linkBytesSent", config.Metrics),
+		received: metrics.GetOrRegisterCounter("linkBytesReceived", config.Metrics),
+		peers:    map[identifier.Process]*Peer{},
+		dialers:  map[string]*dialer{},
+		ctx:      ctx,
+		cancel:   cancel,
+	}, nil
+}
+
+// Identity returns what this process tells its peers.
+func (e *Endpoint) Identity() Identity { return e.config.Identity }
+
+// Keep makes the endpoint hold a link to each of the addresses, and to no other
+// address that it has dialled. Links that peers have dialled are not touched.
+func (e *Endpoint) Keep(addresses []string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.closed {
+		return
+	}
+	for address, d := range e.dialers {
+		if !slices.Contains(addresses, address) {
+			d.stop()
+			delete(e.dialers, address)
+		}
+	}
+	for _, address := range addresses {
+		if e.dialers[address] == nil && address != e.config.Identity.address {
+			d := newDialer(e, address)
+			e.dialers[address] = d
+			e.inFlight.Go(d.run)
+		}
+	}
+}
+
+// Peers returns the peers with a live link.
+func (e *Endpoint) Peers() []*Peer {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	peers := make([]*Peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// Peer returns the peer if there is a live link to it.
+func (e *Endpoint) Peer(process identifier.Process) (*Peer, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	p, ok := e.peers[process]
+	return p, ok
+}
+
+// PeerOnVM returns a peer on the VM with the given role.
+func (e *Endpoint) PeerOnVM(vm string, role Role) (*Peer, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for process, p := range e.peers {
+		if process.VM() == vm && p.identity.role == role {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+// Close closes all links and waits until their goroutines have ended.
+func (e *Endpoint) Close() {
+	e.mutex.Lock()
+	e.closed = true
+	e.cancel()
+	for _, d := range e.dialers {
+		d.stop()
+	}
+	peers := make([]*Peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		peers = append(peers, p)
+	}
+	e.mutex.Unlock()
+	for _, p := range peers {
+		p.close("endpoint closes")
+	}
+	e.inFlight.Wait()
+}
+
+// add makes the peer's link the one in use. An older link to the same process
+// is closed, since a peer that opens another one has given up the first.
+func (e *Endpoint) add(p *Peer) bool {
+	e.mutex.Lock()
+	if e.closed {
+		e.mutex.Unlock()
+		return false
+	}
+	old := e.peers[p.identity.process]
+	e.peers[p.identity.process] = p
+	e.inFlight.Go(p.runWriter)
+	e.mutex.Unlock()
+	if old != nil {
+		old.close("replaced by a newer link")
+	}
+	e.config.Log.Info("link up", zap.Stringer("peer", p.identity.process), zap.String("peerRole", string(p.identity.role)))
+	if e.config.Connected != nil {
+		e.config.Connected(p)
+	}
+	return true
+}
+
+func (e *Endpoint) remove(p *Peer) {
+	e.mutex.Lock()
+	if e.peers[p.identity.process] == p {
+		delete(e.peers, p.identity.process)
+	}
+	e.mutex.Unlock()
+	e.config.Log.Info("link down", zap.Stringer("peer", p.identity.process), zap.String("reason", p.closeReason()))
+	if e.config.Disconnected != nil {
+		e.config.Disconnected(p)
+	}
+}
