replicator: prove that nothing committed is lost; send only what is new

Cause: a property over histories with crashes, lost disks, cuts and messages that are lost, repeated and reordered did not come to an end: Flush sent to all members after every message, so leader and follower answered each other without end (over 10,000 messages in one tick of three idle members). Ruled out: endless rejections; the trace showed only successful answers. Not caught, and why: a leader that counts its own unsynced entries, since the driver of the property syncs before it sends.

--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
@@ -69,37 +68,11 @@
 	}
 }
 
-// admit takes one step towards having the joiner as a member: an earlier
-// incarnation of its VM goes first, since its disk is lost.
-func admit(r *replicator.Replica, joiner identifier.Process) error {
-	if r.Role() != replicator.Leader {
-		return errNotLeader
-	}
-	m := r.Membership()
-	if m.Has(joiner) {
-		return nil
-	}
-	for _, member := range append(m.Voters(), m.Learners()...) {
-		if member.VM() != joiner.VM() {
-			continue
-		}
-		if member.Incarnation() > joiner.Incarnation() {
-			return errors.Errorf("%s has been replaced by %s", joiner, member)
-		}
-		return r.ChangeMembership(replicator.NewMembership(without(m.Voters(), member), without(m.Learners(), member)))
-	}
-	return r.ChangeMembership(replicator.NewMembership(m.Voters(), append(m.Learners(), joiner)))
-}
-
 // promote makes a learner that has caught up a voter.
 func (c *Controller) promote(ctx context.Context, s status) {
 	for _, learner := range s.membership.Learners() {
 		err := c.changeMembership(ctx, func(r *replicator.Replica) error {
-			m := r.Membership()
-			if !m.Has(learner) || !r.CaughtUp(learner) {
-				return nil
-			}
-			return r.ChangeMembership(replicator.NewMembership(append(m.Voters(), learner), without(m.Learners(), learner)))
+			return r.Promote(learner)
 		})
 		if err != nil {
 			c.log.Info("learner not yet promoted", zap.Stringer("member", learner), zap.Error(err))
@@ -107,16 +80,6 @@
 	}
 }
 
-func without(members []identifier.Process, member identifier.Process) []identifier.Process {
-	var others []identifier.Process
-	for _, m := range members {
-		if m != member {
-			others = append(others, m)
-		}
-	}
-	return others
-}
-
 // lapse takes the grants of silent routers back once their term has passed.
 func (c *Controller) lapse(ctx context.Context) {
 	now := time.Now()
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -93,7 +93,7 @@
 }
 
 func (c *Controller) handleJoin(ctx context.Context, joiner identifier.Process) ([]byte, error) {
-	err := c.changeMembership(ctx, func(r *replicator.Replica) error { return admit(r, joiner) })
+	err := c.changeMembership(ctx, func(r *replicator.Replica) error { return r.Admit(joiner) })
 	if errors.Is(err, errNotLeader) {
 		return c.redirect()
 	}
--- a/internal/router/answers.go
+++ b/internal/router/answers.go
@@ -110,7 +110,7 @@
 	flusher := http.NewResponseController(w)
 	for {
 		event, err := stream.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- /dev/null
+++ b/pkg/coordination/replicator/property_test.go
@@ -0,0 +1,372 @@
+package replicator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// maxMessagesPerTick bounds the messages that one tick may lead to.
+const maxMessagesPerTick = 10_000
+
+// member is a replica with a disk. What is in journal has been synced.
+type member struct {
+	id       identifier.Process
+	replica  *replicator.Replica
+	snapshot []byte
+	records  [][]byte
+	applied  uint64
+	up       bool
+}
+
+// cluster drives replicas over a network that loses, repeats and reorders.
+type cluster struct {
+	t         *rapid.T
+	members   []*member
+	network   [][]byte
+	committed map[uint64]string
+	leaders   map[uint64]identifier.Process
+	proposals int
+	random    *rand.Rand
+	cut       map[string]bool // VMs whose messages are lost
+}
+
+func newCluster(t *rapid.T, size int) *cluster {
+	c := &cluster{
+		t: t, committed: map[uint64]string{}, leaders: map[uint64]identifier.Process{},
+		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), cut: map[string]bool{},
+	}
+	for i := range size {
+		m := &member{id: identifier.NewProcess(fmt.Sprintf("control-%d", i), 1)}
+		if i == 0 {
+			m.snapshot = must(replicator.EncodeSnapshot(replicator.Bootstrap(m.id)))
+		}
+		c.members = append(c.members, m)
+		c.start(m)
+	}
+	for range 400 {
+		c.settle()
+	}
+	if got := len(c.members[0].replica.Membership().Voters()); got != size {
+		t.Fatalf("%d voters after the start, want %d", got, size)
+	}
+	return c
+}
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (c *cluster) start(m *member) {
+	recovered, err := replicator.Recover(m.snapshot, m.records)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	m.replica, err = replicator.New(replicator.Config{Self: m.id, Recovered: recovered, Random: c.random.IntN, MaxEntriesPerMessage: 4, ElectionTicks: 3, HeartbeatTicks: 1})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	m.applied = recovered.Snapshot.Index()
+	m.up = true
+}
+
+// flush does what a driver has to do, and checks what is committed.
+func (c *cluster) flush(m *member) {
+	m.replica.Flush()
+	for {
+		o := m.replica.Take()
+		if o.Install() != nil {
+			c.rewrite(m)
+			m.applied = o.Install().Index()
+		} else {
+			if o.Vote() != nil {
+				m.records = append(m.records, must(replicator.EncodeVote(*o.Vote())))
+			}
+			for _, e := range o.Entries() {
+				m.records = append(m.records, must(replicator.EncodeEntry(e)))
+			}
+			if n := len(o.Entries()); n > 0 {
+				m.replica.Persisted(o.Entries()[n-1].Index())
+			}
+		}
+		for _, message := range o.Messages() {
+			c.network = append(c.network, must(replicator.EncodeMessage(message)))
+		}
+		for _, e := range o.Committed() {
+			c.checkCommitted(m, e)
+		}
+		if len(o.Entries()) == 0 && o.Install() == nil {
+			break
+		}
+	}
+	if m.replica.Role() == replicator.Leader {
+		term := m.replica.Term()
+		if other, ok := c.leaders[term]; ok && other != m.id {
+			c.t.Fatalf("term %d has the leaders %s and %s", term, other, m.id)
+		}
+		c.leaders[term] = m.id
+	}
+}
+
+func (c *cluster) rewrite(m *member) {
+	snapshot, vote, entries := m.replica.Durable()
+	m.snapshot = must(replicator.EncodeSnapshot(snapshot))
+	m.records = [][]byte{must(replicator.EncodeVote(vote))}
+	for _, e := range entries {
+		m.records = append(m.records, must(replicator.EncodeEntry(e)))
+	}
+	if n := len(entries); n > 0 {
+		m.replica.Persisted(entries[n-1].Index())
+	}
+}
+
+func (c *cluster) checkCommitted(m *member, e replicator.Entry) {
+	if e.Index() != m.applied+1 {
+		c.t.Fatalf("%s applies entry %d after %d", m.id, e.Index(), m.applied)
+	}
+	m.applied = e.Index()
+	content := fmt.Sprintf("%d %d %s", e.Term(), e.Kind(), e.Data())
+	if before, ok := c.committed[e.Index()]; ok && before != content {
+		c.t.Fatalf("entry %d was committed as %q and as %q", e.Index(), before, content)
+	}
+	c.committed[e.Index()] = content
+}
+
+func (c *cluster) byID(id identifier.Process) *member {
+	for _, m := range c.members {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// deliver hands over the message at the given place, if its receiver is up.
+func (c *cluster) deliver(at int, keep bool) {
+	message, err := replicator.DecodeMessage(c.network[at])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if !keep {
+		c.network = append(c.network[:at], c.network[at+1:]...)
+	}
+	m := c.byID(message.To())
+	if m == nil || !m.up || c.cut[message.To().VM()] || c.cut[message.From().VM()] {
+		return
+	}
+	m.replica.Step(message)
+	c.flush(m)
+}
+
+// settle lets time pass without faults: a tick for all, then all messages.
+func (c *cluster) settle() {
+	for _, m := range c.members {
+		if m.up {
+			m.replica.Tick()
+			c.flush(m)
+		}
+	}
+	c.repair()
+	for n := 0; len(c.network) > 0; n++ {
+		if n > maxMessagesPerTick {
+			c.t.Fatalf("messages do not come to an end: %s", c.describe())
+		}
+		c.deliver(0, false)
+	}
+}
+
+// describe shows the messages on the network.
+func (c *cluster) describe() string {
+	text := ""
+	for _, data := range c.network[:min(len(c.network), 4)] {
+		message, err := replicator.DecodeMessage(data)
+		text += fmt.Sprintf("%+v %v\n", message, err)
+	}
+	return text
+}
+
+// repair does what a leader's duties are: it takes members in.
+func (c *cluster) repair() {
+	for _, leader := range c.members {
+		if !leader.up || leader.replica.Role() != replicator.Leader {
+			continue
+		}
+		for _, m := range c.members {
+			if m.up {
+				_ = leader.replica.Admit(m.id)   // tried again
+				_ = leader.replica.Promote(m.id) // tried again
+			}
+		}
+		c.flush(leader)
+	}
+}
+
+// mayLoseDisk reports whether a quorum of intact disks is left in the view of
+// every member if the member loses its disk.
+func (c *cluster) mayLoseDisk(lost *member) bool {
+	for _, m := range c.members {
+		intact := 0
+		voters := m.replica.Membership().Voters()
+		for _, voter := range voters {
+			if c.byID(voter) != nil && voter != lost.id {
+				intact++
+			}
+		}
+		if m != lost && len(voters) > 0 && intact < len(voters)/2+1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) loseDisk(m *member) {
+	m.id = identifier.NewProcess(m.id.VM(), m.id.Incarnation()+1)
+	m.snapshot, m.records = nil, nil
+	c.start(m)
+}
+
+func (c *cluster) propose() {
+	for _, m := range c.members {
+		if m.up && m.replica.Role() == replicator.Leader {
+			c.proposals++
+			_, _, _ = m.replica.Propose([]byte(fmt.Sprint(c.proposals))) // a stale leader's is lost
+			c.flush(m)
+		}
+	}
+}
+
+func (c *cluster) compact(m *member) {
+	if m.up && m.applied > 0 {
+		if _, err := m.replica.Compact(m.applied, []byte("state")); err == nil {
+			c.rewrite(m)
+		}
+	}
+}
+
+// round lets some time pass on each VM and delivers what the network lets
+// through, in any order.
+func (c *cluster) round(lossPercent int) {
+	for _, m := range c.members {
+		if m.up && c.random.IntN(3) > 0 {
+			m.replica.Tick()
+			c.flush(m)
+		}
+	}
+	for n := len(c.network); n > 0 && len(c.network) > 0; n-- {
+		at := c.random.IntN(min(len(c.network), 6))
+		switch dice := c.random.IntN(100); {
+		case dice < lossPercent:
+			c.network = append(c.network[:at], c.network[at+1:]...)
+		case dice < lossPercent+5:
+			c.deliver(at, true)
+		case dice < lossPercent+20: // stays under way
+		default:
+			c.deliver(at, false)
+		}
+	}
+}
+
+// fault lets one thing go wrong, or right again.
+func (c *cluster) fault(kind int) {
+	m := c.members[c.random.IntN(len(c.members))]
+	switch kind {
+	case 0:
+		m.up = false
+	case 1:
+		if !m.up {
+			c.start(m)
+		}
+	case 2:
+		if c.mayLoseDisk(m) {
+			c.loseDisk(m)
+		}
+	case 3:
+		c.compact(m)
+	case 4:
+		c.cut[m.id.VM()] = !c.cut[m.id.VM()]
+	case 5, 7, 8:
+		clear(c.cut)
+	case 6: // the leader freezes or dies with proposals that nobody has
+		c.propose()
+		for _, leader := range c.members {
+			if leader.up && leader.replica.Role() == replicator.Leader {
+				c.cut[leader.id.VM()] = true
+			}
+		}
+	}
+}
+
+func checkHistory(t *rapid.T) {
+	c := newCluster(t, rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"))
+	loss := rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "lossPercent")
+	for range 40 {
+		c.fault(c.random.IntN(10))
+		for range 5 + c.random.IntN(40) {
+			if c.random.IntN(3) == 0 {
+				c.propose()
+			}
+			if c.random.IntN(4) == 0 {
+				c.repair()
+			}
+			c.round(loss)
+		}
+	}
+	c.checkRecovery()
+}
+
+// checkRecovery ends all faults and expects everything committed everywhere.
+func (c *cluster) checkRecovery() {
+	clear(c.cut)
+	for _, m := range c.members {
+		if !m.up {
+			c.start(m)
+		}
+	}
+	for range 300 {
+		c.settle()
+	}
+	c.propose()
+	for range 20 {
+		c.settle()
+	}
+	want := fmt.Sprint(c.proposals)
+	var top uint64
+	for index := range c.committed {
+		top = max(top, index)
+	}
+	if c.committed[top] == "" || len(c.committed[top]) < len(want) || c.committed[top][len(c.committed[top])-len(want):] != want {
+		c.t.Fatalf("the last proposal %s was not committed: entry %d is %q", want, top, c.committed[top])
+	}
+	for _, m := range c.members {
+		if m.applied != top {
+			c.t.Fatalf("%s has applied %d of %d", m.id, m.applied, top)
+		}
+	}
+}
+
+// Guards: a promise once committed is never lost or changed, under crashes, lost
+// disks, cuts, and messages that are lost, repeated and reordered.
+func TestNothingCommittedIsLostOrChanged(t *testing.T) {
+	if err := flag.Set("rapid.checks", "400"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, checkHistory)
+}
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -50,6 +50,7 @@
 	progress        map[identifier.Process]*progress
 	readSequence    uint64
 	reads           []pendingRead
+	unsent          bool // whether there are proposals that have not been sent
 
 	output Output
 }
@@ -132,15 +133,17 @@
 		return 0, 0, ErrNotLeader
 	}
 	index = r.appendOwn(Command, data)
+	r.unsent = true
 	return index, r.vote.term, nil
 }
 
 // Flush sends the entries proposed since the last call to the other members.
 // Proposals that share a flush share a message and a sync.
 func (r *Replica) Flush() {
-	if r.role == Leader {
+	if r.role == Leader && r.unsent {
 		r.broadcast()
 	}
+	r.unsent = false
 }
 
 // Read asks for a confirmation that this member is the leader. The identifier
