bookkeeper, holder: spend without control, and give back only what is proved unspent

Cause: a router that cannot reach control could record no intent and had to refuse everything; a dead router's grant came back on a newer incarnation alone, which is wrong once intents can be recorded elsewhere. A ticket can release a grant that cannot be proved unspent.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -17,14 +17,19 @@
 
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
+	"radishshed.example/radishshed/pkg/coordination/holder"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
 )
 
 const (
-	tickInterval       = time.Second
-	keepAliveTicks     = 10
+	tickInterval   = time.Second
+	keepAliveTicks = 10
+	// unreachableAfter is how long batches have to fail before control counts
+	// as unreachable.
+	unreachableAfter   = time.Second
+	maxHeldInBatch     = 512
 	callTimeout        = 2 * time.Second
 	retryDelay         = 50 * time.Millisecond
 	maxBatchesInFlight = 4
@@ -51,9 +56,11 @@
 	Caller Caller
 	// Allotter holds the router's grants. Required.
 	Allotter *allotter.Allotter
-	// Replaced is called if a newer incarnation of this VM has registered.
-	// Required.
-	Replaced func(reason string)
+	// Holder holds intents of other routers. Required.
+	Holder *holder.Store
+	// Retired is called when control has retired this process: it must finish
+	// what it has and end. Required.
+	Retired func(reason string)
 	// Log receives events. Required.
 	Log *zap.Logger
 	// Metrics receives batchesSent, batchesFailed and closingsQueued. Required.
@@ -87,6 +94,11 @@
 	open        map[uint64]bool
 	closedBelow uint64
 	unacked     int
+
+	registered   bool
+	sweeps       map[identifier.Process]bool
+	lastContact  time.Time // when the last batch that was answered was sent
+	failingSince time.Time // zero while batches are answered
 }
 
 // New returns a committer. Run makes it send.
@@ -101,9 +113,44 @@
 		flushed:     make(chan struct{}),
 		open:        map[uint64]bool{},
 		closedBelow: 1,
+		sweeps:      map[identifier.Process]bool{},
 	}
 }
 
+// Registered reports whether control has taken this router in. Before that it
+// does not know which routers are retired and must hold no intents.
+func (c *Committer) Registered() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.registered
+}
+
+// LastContact returns when the last batch was sent that control has answered.
+// Terms count from it.
+func (c *Committer) LastContact() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lastContact
+}
+
+// Unreachable reports whether control has not answered for a while.
+func (c *Committer) Unreachable() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.failingSince.IsZero() && time.Since(c.failingSince) >= unreachableAfter
+}
+
+// Sweep passes all held intents of retired routers on to control, and refuses
+// further ones.
+func (c *Committer) Sweep(retired []identifier.Process) {
+	c.mutex.Lock()
+	for _, process := range retired {
+		c.sweeps[process] = true
+	}
+	c.mutex.Unlock()
+	c.urge()
+}
+
 // NewRequest returns the identifier of a new request. It must be passed to
 // Close or Abandon in the end.
 func (c *Committer) NewRequest() identifier.Request {
@@ -231,7 +278,7 @@
 			c.report(c.config.Allotter.Tick(time.Now()))
 		case <-c.wake:
 		}
-		if b := c.collect(ticks >= keepAliveTicks); b != nil {
+		if b := c.collect(ticks >= keepAliveTicks || c.Unreachable() || !c.Registered()); b != nil {
 			ticks = 0
 			b.ctx = ctx
 			running.Go(b.run)
@@ -275,9 +322,18 @@
 		b.draws = append(b.draws, draw)
 	}
 	clear(c.draws)
-	if len(b.openings)+len(b.closings)+len(b.draws) == 0 && !keepAlive {
+	for process := range c.sweeps {
+		b.held = append(b.held, c.config.Holder.Fence(process)...)
+		b.swept = append(b.swept, process)
+	}
+	clear(c.sweeps)
+	if c.failingSince.IsZero() {
+		b.held = append(b.held, c.config.Holder.Some(maxHeldInBatch)...)
+	}
+	if b.isEmpty() && !keepAlive {
 		return nil
 	}
+	b.register = !c.registered
 	c.inFlight++
 	return b
 }
@@ -304,9 +360,18 @@
 	openings    []*opening
 	closings    []applier.Closing
 	draws       []bookkeeper.Draw
+	held        []bookkeeper.Intent
+	swept       []identifier.Process
+	register    bool
+	sentAt      time.Time
+}
+
+func (b *batch) isEmpty() bool {
+	return len(b.openings)+len(b.closings)+len(b.draws)+len(b.held)+len(b.swept) == 0
 }
 
 func (b *batch) run() {
+	b.sentAt = time.Now()
 	result, err := b.send()
 	if err != nil {
 		b.committer.failed.Inc(1)
@@ -321,10 +386,12 @@
 func (b *batch) send() (applier.BatchResult, error) {
 	config := applier.BatchConfig{
 		Router:      b.committer.config.Process,
-		Register:    true,
+		Register:    b.register,
 		ClosedBelow: b.closedBelow,
 		Closings:    b.closings,
 		Draws:       b.draws,
+		Held:        b.held,
+		Swept:       b.swept,
 	}
 	for _, o := range b.openings {
 		config.Openings = append(config.Openings, o.opening)
@@ -368,12 +435,20 @@
 	c.mutex.Lock()
 	c.openings = append(b.openings, c.openings...)
 	c.closings = append(b.closings, c.closings...)
-	c.inFlight--
+	for _, process := range b.swept {
+		c.sweeps[process] = true
+	}
+	if c.failingSince.IsZero() {
+		c.failingSince = b.sentAt
+	}
 	c.mutex.Unlock()
 	select {
 	case <-time.After(retryDelay):
 	case <-b.ctx.Done():
 	}
+	c.mutex.Lock()
+	c.inFlight--
+	c.mutex.Unlock()
 	for _, draw := range b.draws {
 		if draw.Want() > 0 || draw.Returned() > 0 {
 			c.config.Allotter.Account(draw.Account()).Want(draw.Want())
@@ -385,13 +460,27 @@
 func (b *batch) deliver(result applier.BatchResult) {
 	c := b.committer
 	if result.Refusal() != "" {
-		c.config.Replaced(result.Refusal())
+		c.config.Retired(result.Refusal())
+		for _, o := range b.openings {
+			o.outcome <- applier.NewRefused(result.Refusal())
+		}
 	}
 	for i, outcome := range result.Openings() {
 		b.openings[i].outcome <- outcome
 	}
 	c.config.Allotter.Apply(result.Grants())
+	for _, fence := range result.Fences() {
+		c.config.Holder.Fence(fence)
+	}
+	for _, intent := range b.held {
+		c.config.Holder.Release([]identifier.Request{intent.Request()})
+	}
 	c.mutex.Lock()
+	c.registered = true
+	c.failingSince = time.Time{}
+	if b.sentAt.After(c.lastContact) {
+		c.lastContact = b.sentAt
+	}
 	for _, closing := range b.closings {
 		c.forget(closing.Settlement().Intent().Request())
 	}
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -23,7 +23,7 @@
 	// still be on their way to a target.
 	orphanGrace = 5 * time.Second
 	maxOrphans  = 64
-	// minGrantTerm is the shortest silence after which grants are taken back.
+	// minGrantTerm is the shortest silence after which a router is retired.
 	minGrantTerm = 30 * time.Second
 	// clockDrift is how much slower a router's clock may run over a term.
 	clockDrift = 5 * time.Second
@@ -49,7 +49,8 @@
 			continue
 		}
 		c.promote(ctx, *s)
-		c.lapse(ctx)
+		c.retireSilent(ctx)
+		c.handOutSweeps(ctx)
 		c.handOutOrphans(ctx)
 	}
 }
@@ -80,42 +81,60 @@
 	}
 }
 
-// lapse takes the grants of silent routers back once their term has passed.
-func (c *Controller) lapse(ctx context.Context) {
+// retireSilent retires routers that have been silent for longer than any budget
+// lets them spend without control.
+func (c *Controller) retireSilent(ctx context.Context) {
 	now := time.Now()
-	terms := grantTerms(*c.configuration.Load())
-	var due []applier.Lapse
+	term := grantTerm(*c.configuration.Load())
+	var due []identifier.Process
 	err := c.query(ctx, false, func(s *applier.State) {
 		for _, process := range s.Ledger().Routers() {
-			silence := c.contacts.silence(process, now)
-			if silence < minGrantTerm {
-				continue
-			}
-			for _, account := range s.Ledger().Held(process) {
-				if silence > max(terms[account], minGrantTerm)+clockDrift {
-					due = append(due, applier.NewLapse(process, account))
-				}
+			if c.contacts.silence(process, now) > term+clockDrift {
+				due = append(due, process)
 			}
 		}
 	})
 	if err != nil {
 		return // tried again at the next tick
 	}
-	for _, command := range due {
-		if _, err := c.propose(ctx, command); err != nil {
+	for _, process := range due {
+		if _, err := c.propose(ctx, applier.NewRetire(process)); err != nil {
 			return // tried again at the next tick
 		}
+		c.log.Warn("silent router retired", zap.Stringer("process", process))
 	}
 }
 
-func grantTerms(configuration archiver.Configuration) map[string]time.Duration {
-	terms := map[string]time.Duration{}
+// grantTerm returns how long a router may spend without control at most.
+func grantTerm(configuration archiver.Configuration) time.Duration {
+	term := minGrantTerm
 	for _, o := range configuration.Organisations() {
 		for _, b := range o.Budgets() {
-			terms[archiver.AccountName(o.Name(), b.Name())] = b.CutOffSpending()
+			term = max(term, b.CutOffSpending())
+		}
+	}
+	return term
+}
+
+// handOutSweeps asks routers which intents of retired routers they hold.
+func (c *Controller) handOutSweeps(ctx context.Context) {
+	peers := map[*linker.Peer][]identifier.Process{}
+	err := c.query(ctx, false, func(s *applier.State) {
+		for _, peer := range c.endpoint.Peers() {
+			if retired := s.Ledger().Unswept(peer.Identity().Process()); len(retired) > 0 {
+				peers[peer] = retired
+			}
+		}
+	})
+	if err != nil {
+		return // tried again at the next tick
+	}
+	for peer, retired := range peers {
+		data, err := messenger.EncodeProcesses(retired)
+		if err == nil {
+			_ = peer.Notify(messenger.Sweep, data) // handed out again until it is answered
 		}
 	}
-	return terms
 }
 
 // handOutOrphans asks a router to learn what became of the open requests of
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
 	"radishshed.example/radishshed/pkg/state/pricer"
@@ -32,6 +33,12 @@
 	// Orphans asks a router to learn what became of the requests of a router
 	// that has ended. Notice.
 	Orphans
+	// Sweep asks a router to take no more intents of retired routers, and to
+	// pass those that it holds on to control. Notice.
+	Sweep
+	// Hold asks a router to hold intents while control cannot be reached. Call,
+	// answered by nothing or an error.
+	Hold
 )
 
 // Answer is a control VM's answer to a call: either a result, or a hint at the
@@ -203,3 +210,31 @@
 	}
 	return intents, nil
 }
+
+type wireProcess struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+}
+
+// EncodeProcesses returns the CBOR form of a list of processes.
+func EncodeProcesses(processes []identifier.Process) ([]byte, error) {
+	wire := make([]wireProcess, 0, len(processes))
+	for _, p := range processes {
+		wire = append(wire, wireProcess{VM: p.VM(), Incarnation: p.Incarnation()})
+	}
+	return encoder.Marshal(wire)
+}
+
+// DecodeProcesses is the inverse of EncodeProcesses.
+func DecodeProcesses(data []byte) ([]identifier.Process, error) {
+	var wire []wireProcess
+	if err := encoder.Unmarshal(data, &wire); err != nil {
+		return nil, err
+	}
+	processes := make([]identifier.Process, 0, len(wire))
+	for _, w := range wire {
+		processes = append(processes, identifier.NewProcess(w.VM, w.Incarnation))
+	}
+	return processes, nil
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	openTimeout  = 3 * time.Second
+	openTimeout  = 1500 * time.Millisecond
 	drawTimeout  = 2 * time.Second
 	drawInterval = 20 * time.Millisecond
 	joinInterval = 250 * time.Millisecond
@@ -135,6 +135,10 @@
 		if drawn > 0 && time.Now().After(deadline) {
 			return j.overBudget()
 		}
+		if j.router.committer.Unreachable() {
+			return admitter.Refuse(admitter.ControlUnreachable, "this router holds %d microcredits of budget %s, the request can cost %d, and control cannot be reached",
+				j.account.Available(), j.account.Name(), need)
+		}
 		j.account.Want(need)
 		drawCtx, cancel := context.WithTimeout(ctx, drawTimeout)
 		err := j.router.committer.Draw(drawCtx)
@@ -163,11 +167,14 @@
 	deadline := time.Now().Add(maxJoinWait)
 	j.submitted = true
 	for {
+		if j.router.committer.Unreachable() {
+			return j.openCutOff(ctx)
+		}
 		openCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), openTimeout)
 		outcome, err := j.router.committer.Open(openCtx, applier.NewOpening(j.intent(), j.admission.Key(), j.admission.Fingerprint()))
 		cancel()
 		if err != nil {
-			return admitter.Refuse(admitter.ControlUnreachable, "the request cannot be recorded: %v", err)
+			return j.openCutOff(ctx)
 		}
 		switch o := outcome.(type) {
 		case applier.Opened:
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -126,6 +126,15 @@
 		r.allotter.Account(order.Account()).Recall(order.Keep())
 		r.committer.Urge()
 		return nil, nil
+	case messenger.Hold:
+		return nil, r.hold(body)
+	case messenger.Sweep:
+		retired, err := messenger.DecodeProcesses(body)
+		if err != nil {
+			return nil, err
+		}
+		r.committer.Sweep(retired)
+		return nil, nil
 	case messenger.Orphans:
 		intents, err := messenger.DecodeIntents(body)
 		if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/holder"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -52,6 +53,9 @@
 	selector  *selector.Selector
 	forwarder *forwarder.Forwarder
 	strikes   *strikes
+	held      *holder.Store
+	retired   chan struct{} // closed when control has retired this process
+	retireOne sync.Once
 
 	configuration atomic.Pointer[archiver.Configuration]
 	confirmed     chan struct{} // closed once a quorum has confirmed a configuration
@@ -97,6 +101,8 @@
 		selector:  selector.New(selector.Config{}),
 		forwarder: forwarder.New(forwarder.Config{}),
 		strikes:   newStrikes(),
+		held:      holder.New(holder.Config{}),
+		retired:   make(chan struct{}),
 		confirmed: make(chan struct{}),
 		refresh:   make(chan struct{}, 1),
 		failed:    func(error) {},
@@ -108,7 +114,8 @@
 		Process:  r.process,
 		Caller:   r,
 		Allotter: r.allotter,
-		Replaced: func(reason string) { r.failed(errors.Errorf("control refuses this router: %s", reason)) },
+		Holder:   r.held,
+		Retired:  r.retire,
 		Log:      r.log,
 		Metrics:  r.metrics,
 	})
@@ -147,6 +154,9 @@
 	select {
 	case <-ctx.Done():
 		r.drain(serving, public)
+	case <-r.retired:
+		r.drain(serving, public)
+		stop(errors.New("control has retired this router, since it was silent for too long or has a newer incarnation: start it again"))
 	case <-serving.Done():
 	}
 	err = context.Cause(serving)
@@ -159,6 +169,15 @@
 	return err
 }
 
+// retire makes the router finish what it has and end. Only a new incarnation
+// can draw on budgets again.
+func (r *Router) retire(reason string) {
+	r.retireOne.Do(func() {
+		r.log.Warn("retired by control", zap.String("reason", reason))
+		close(r.retired)
+	})
+}
+
 // drain ends the service of a router without cutting a request off.
 func (r *Router) drain(ctx context.Context, public *listener.Listener) {
 	r.log.Info("draining")
--- a/pkg/state/applier/applier.go
+++ b/pkg/state/applier/applier.go
@@ -20,7 +20,7 @@
 )
 
 // Command changes the state. It is sealed: SubmitTicket, Lower, CancelLowering,
-// Lapse and Batch are its only variants.
+// Retire and Batch are its only variants.
 type Command interface{ isCommand() }
 
 // SubmitTicket puts a ticket into force.
@@ -35,17 +35,14 @@
 // CancelLowering undoes Lower.
 type CancelLowering struct{ account string }
 
-// Lapse takes back what a router holds of an account, once its right to reserve
-// from it has ended.
-type Lapse struct {
-	router  identifier.Process
-	account string
-}
+// Retire ends the rights of a router that has been silent for longer than it may
+// spend without control.
+type Retire struct{ router identifier.Process }
 
 func (SubmitTicket) isCommand()   {}
 func (Lower) isCommand()          {}
 func (CancelLowering) isCommand() {}
-func (Lapse) isCommand()          {}
+func (Retire) isCommand()         {}
 func (Batch) isCommand()          {}
 
 // NewSubmitTicket returns the command that puts the ticket into force.
@@ -57,8 +54,8 @@
 // NewCancelLowering returns the command that undoes Lower.
 func NewCancelLowering(account string) CancelLowering { return CancelLowering{account} }
 
-// NewLapse returns the command that takes back what a router holds.
-func NewLapse(router identifier.Process, account string) Lapse { return Lapse{router, account} }
+// NewRetire returns the command that ends the rights of a router.
+func NewRetire(router identifier.Process) Retire { return Retire{router} }
 
 // Opening records an intent and, for a keyed request, claims the key.
 type Opening struct {
@@ -95,6 +92,8 @@
 	openings    []Opening
 	closings    []Closing
 	draws       []bookkeeper.Draw
+	held        []bookkeeper.Intent
+	swept       []identifier.Process
 }
 
 // BatchConfig holds the parts of a batch.
@@ -106,10 +105,16 @@
 	// ClosedBelow is the sequence number below which all requests of the router
 	// are settled and known to be so by the ledger.
 	ClosedBelow uint64
-	// Draws, Openings and Closings are applied in this order.
+	// Closings, Draws and Openings are applied in this order. The closings of a
+	// retired router count, too.
+	Closings []Closing
 	Draws    []bookkeeper.Draw
 	Openings []Opening
-	Closings []Closing
+	// Held are intents of other routers that this one has held for them.
+	Held []bookkeeper.Intent
+	// Swept are retired processes of which this router holds no other intents
+	// than those in Held, and from which it takes no more.
+	Swept []identifier.Process
 }
 
 // NewBatch returns a batch with the given parts.
@@ -121,6 +126,8 @@
 		openings:    c.Openings,
 		closings:    c.Closings,
 		draws:       c.Draws,
+		held:        c.Held,
+		swept:       c.Swept,
 	}
 }
 
@@ -147,6 +154,9 @@
 func (Refused) isOpeningOutcome() {}
 func (Claimed) isOpeningOutcome() {}
 
+// NewRefused returns the outcome of an opening that is refused.
+func NewRefused(reason string) Refused { return Refused{reason} }
+
 // Reason returns why the request must not be sent.
 func (r Refused) Reason() string { return r.reason }
 
@@ -155,6 +165,7 @@
 
 // BatchResult answers a batch. Its parts are in the order of the batch's parts.
 type BatchResult struct {
+	fences   []identifier.Process
 	refusal  string
 	openings []OpeningOutcome
 	grants   []bookkeeper.Grant
@@ -163,6 +174,10 @@
 // Refusal returns why the whole batch was refused, or "".
 func (r BatchResult) Refusal() string { return r.refusal }
 
+// Fences returns, for a batch that registers its router, the newest retired
+// process of each VM.
+func (r BatchResult) Fences() []identifier.Process { return r.fences }
+
 // Openings returns the outcomes of the openings.
 func (r BatchResult) Openings() []OpeningOutcome { return r.openings }
 
@@ -237,8 +252,8 @@
 	case CancelLowering:
 		s.ledger.CancelLowering(c.account)
 		return Done{}
-	case Lapse:
-		s.ledger.Lapse(c.router, c.account)
+	case Retire:
+		s.ledger.Retire(c.router)
 		return Done{}
 	case Batch:
 		return s.applyBatch(c)
@@ -294,20 +309,33 @@
 			panic(err) // CheckTicket has just accepted it
 		}
 	}
+	for _, process := range t.Released() {
+		s.ledger.Release(process)
+	}
 	return s.archive.Submit(t)
 }
 
 func (s *State) applyBatch(b Batch) BatchResult {
 	s.claims.Expire(s.now)
 	if b.register {
-		if err := s.ledger.Register(b.router); err != nil {
-			return BatchResult{refusal: err.Error()}
-		}
+		_ = s.ledger.Register(b.router) // a router that may not is refused below
+	}
+	for _, intent := range b.held {
+		_ = s.ledger.OpenHeld(intent) // closed long ago, or of a router that is forgotten
+	}
+	for _, closing := range b.closings {
+		s.close(closing)
 	}
 	if !s.ledger.IsCurrent(b.router) {
 		return BatchResult{refusal: bookkeeper.ErrRetired.Error()}
 	}
+	for _, retired := range b.swept {
+		s.ledger.Sweep(retired, b.router)
+	}
 	var result BatchResult
+	if b.register {
+		result.fences = s.ledger.Fences()
+	}
 	for _, draw := range b.draws {
 		if grant, err := s.ledger.Draw(b.router, draw); err == nil {
 			result.grants = append(result.grants, grant)
@@ -316,9 +344,6 @@
 	for _, opening := range b.openings {
 		result.openings = append(result.openings, s.open(opening))
 	}
-	for _, closing := range b.closings {
-		s.close(closing)
-	}
 	s.ledger.CloseBelow(b.router, b.closedBelow)
 	return result
 }
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -36,6 +36,8 @@
 	Openings    []wireOpening
 	Closings    []wireClosing
 	Draws       []bookkeeper.WireDraw
+	Held        []bookkeeper.WireIntent
+	Swept       []wireProcess
 }
 
 type wireLowering struct {
@@ -45,11 +47,10 @@
 	Cancel  bool
 }
 
-type wireLapse struct {
+type wireProcess struct {
 	_           struct{} `cbor:",toarray"`
 	VM          string
 	Incarnation uint64
-	Account     string
 }
 
 // wireCommand has exactly one of its last four fields.
@@ -58,7 +59,7 @@
 	AtMillis int64
 	Ticket   []byte
 	Lowering *wireLowering
-	Lapse    *wireLapse
+	Retire   *wireProcess
 	Batch    *wireBatch
 }
 
@@ -71,6 +72,7 @@
 type wireBatchResult struct {
 	_        struct{} `cbor:",toarray"`
 	Refusal  string
+	Fences   []wireProcess
 	Openings []wireOpeningOutcome
 	Grants   []bookkeeper.WireGrant
 }
@@ -93,8 +95,9 @@
 		w.Lowering = &wireLowering{Account: c.account, Total: int64(c.total)}
 	case CancelLowering:
 		w.Lowering = &wireLowering{Account: c.account, Cancel: true}
-	case Lapse:
-		w.Lapse = &wireLapse{VM: c.router.VM(), Incarnation: c.router.Incarnation(), Account: c.account}
+	case Retire:
+		process := processToWire(c.router)
+		w.Retire = &process
 	case Batch:
 		batch := batchToWire(c)
 		w.Batch = &batch
@@ -119,8 +122,8 @@
 		return CancelLowering{w.Lowering.Account}, at, nil
 	case w.Lowering != nil:
 		return Lower{w.Lowering.Account, pricer.Amount(w.Lowering.Total)}, at, nil
-	case w.Lapse != nil:
-		return Lapse{identifier.NewProcess(w.Lapse.VM, w.Lapse.Incarnation), w.Lapse.Account}, at, nil
+	case w.Retire != nil:
+		return Retire{identifier.NewProcess(w.Retire.VM, w.Retire.Incarnation)}, at, nil
 	case w.Batch != nil:
 		batch, err := batchFromWire(*w.Batch)
 		return batch, at, err
@@ -144,6 +147,9 @@
 // EncodeBatchResult returns the CBOR form of the answer to a batch.
 func EncodeBatchResult(r BatchResult) ([]byte, error) {
 	w := wireBatchResult{Refusal: r.refusal}
+	for _, p := range r.fences {
+		w.Fences = append(w.Fences, processToWire(p))
+	}
 	for _, opening := range r.openings {
 		switch o := opening.(type) {
 		case Opened:
@@ -170,6 +176,9 @@
 		return BatchResult{}, err
 	}
 	r := BatchResult{refusal: w.Refusal}
+	for _, p := range w.Fences {
+		r.fences = append(r.fences, identifier.NewProcess(p.VM, p.Incarnation))
+	}
 	for _, wire := range w.Openings {
 		switch {
 		case wire.Claim != nil:
@@ -237,6 +246,10 @@
 	return s, err
 }
 
+func processToWire(p identifier.Process) wireProcess {
+	return wireProcess{VM: p.VM(), Incarnation: p.Incarnation()}
+}
+
 func batchToWire(b Batch) wireBatch {
 	w := wireBatch{
 		VM:          b.router.VM(),
@@ -263,6 +276,12 @@
 	for _, d := range b.draws {
 		w.Draws = append(w.Draws, bookkeeper.DrawToWire(d))
 	}
+	for _, i := range b.held {
+		w.Held = append(w.Held, bookkeeper.IntentToWire(i))
+	}
+	for _, p := range b.swept {
+		w.Swept = append(w.Swept, processToWire(p))
+	}
 	return w
 }
 
@@ -308,5 +327,15 @@
 		}
 		b.draws = append(b.draws, draw)
 	}
+	for _, wire := range w.Held {
+		intent, err := bookkeeper.IntentFromWire(wire)
+		if err != nil {
+			return Batch{}, err
+		}
+		b.held = append(b.held, intent)
+	}
+	for _, wire := range w.Swept {
+		b.swept = append(b.swept, identifier.NewProcess(wire.VM, wire.Incarnation))
+	}
 	return b, nil
 }
--- a/pkg/state/archiver/archiver.go
+++ b/pkg/state/archiver/archiver.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
@@ -173,8 +174,13 @@
 	organisations []Organisation
 	services      []Service
 	rules         []Rule
+	released      []identifier.Process
 }
 
+// Released returns the ended router processes whose unspent grants the operator
+// vouches for, although too many routers have ended to prove it.
+func (t Ticket) Released() []identifier.Process { return slices.Clone(t.released) }
+
 // Number returns the ticket's number. The first ticket has number one or more.
 func (t Ticket) Number() uint64 { return t.number }
 
--- a/pkg/state/archiver/codec.go
+++ b/pkg/state/archiver/codec.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
@@ -81,6 +82,7 @@
 	Organisations []jsonOrganisation `json:"organisations,omitempty"`
 	Services      []jsonService      `json:"services,omitempty"`
 	Rules         []jsonRule         `json:"rules,omitempty"`
+	Released      []string           `json:"released,omitempty"`
 }
 
 // HashKey returns the hash of a caller's secret.
@@ -107,6 +109,9 @@
 	for _, r := range t.rules {
 		w.Rules = append(w.Rules, jsonRule{r.organisation, r.service, r.work, formatDuration(r.mayWait), r.priority})
 	}
+	for _, p := range t.released {
+		w.Released = append(w.Released, p.String())
+	}
 	data, err := json.Marshal(w)
 	if err != nil {
 		panic(err) // the wire structs hold only strings and numbers
@@ -174,6 +179,13 @@
 			return Ticket{}, err
 		}
 	}
+	for i, text := range w.Released {
+		process, err := identifier.ParseProcess(text)
+		if err != nil {
+			return Ticket{}, errors.Wrapf(err, "released[%d]", i)
+		}
+		t.released = append(t.released, process)
+	}
 	return t, nil
 }
 
--- a/pkg/state/bookkeeper/codec.go
+++ b/pkg/state/bookkeeper/codec.go
@@ -91,13 +91,23 @@
 	Retired     bool
 	ClosedBelow uint64
 	Closed      []uint64
+	Unswept     []wireProcess
+	LostSweeps  int
+}
+
+type wireProcess struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
 }
 
 type wireLedger struct {
-	_        struct{} `cbor:",toarray"`
-	Accounts []wireAccount
-	Routers  []wireRouter
-	Intents  []WireIntent
+	_         struct{} `cbor:",toarray"`
+	Accounts  []wireAccount
+	Routers   []wireRouter
+	Intents   []WireIntent
+	Current   []wireProcess
+	Forgotten []wireProcess
 }
 
 // IntentToWire returns the CBOR form of the intent.
@@ -246,6 +256,10 @@
 			Incarnation: process.Incarnation(),
 			Retired:     r.retired,
 			ClosedBelow: r.closedBelow,
+			LostSweeps:  r.lostSweeps,
+		}
+		for other := range r.unswept {
+			wire.Unswept = append(wire.Unswept, wireProcess{VM: other.VM(), Incarnation: other.Incarnation()})
 		}
 		for sequence := range r.closed {
 			wire.Closed = append(wire.Closed, sequence)
@@ -255,6 +269,12 @@
 	for _, i := range l.intents {
 		w.Intents = append(w.Intents, IntentToWire(i))
 	}
+	for _, process := range l.current {
+		w.Current = append(w.Current, wireProcess{VM: process.VM(), Incarnation: process.Incarnation()})
+	}
+	for vm, incarnation := range l.forgotten {
+		w.Forgotten = append(w.Forgotten, wireProcess{VM: vm, Incarnation: incarnation})
+	}
 	return encoder.Marshal(w)
 }
 
@@ -274,14 +294,26 @@
 	}
 	for _, wire := range w.Routers {
 		process := identifier.NewProcess(wire.VM, wire.Incarnation)
-		r := &router{retired: wire.Retired, closedBelow: wire.ClosedBelow, closed: map[uint64]bool{}}
+		r := &router{
+			retired:     wire.Retired,
+			closedBelow: wire.ClosedBelow,
+			closed:      map[uint64]bool{},
+			unswept:     map[identifier.Process]bool{},
+			lostSweeps:  wire.LostSweeps,
+		}
+		for _, other := range wire.Unswept {
+			r.unswept[identifier.NewProcess(other.VM, other.Incarnation)] = true
+		}
 		for _, sequence := range wire.Closed {
 			r.closed[sequence] = true
 		}
 		l.routers[process] = r
-		if !r.retired {
-			l.current[wire.VM] = process
-		}
+	}
+	for _, wire := range w.Current {
+		l.current[wire.VM] = identifier.NewProcess(wire.VM, wire.Incarnation)
+	}
+	for _, wire := range w.Forgotten {
+		l.forgotten[wire.VM] = wire.Incarnation
 	}
 	for _, wire := range w.Intents {
 		i, err := IntentFromWire(wire)
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -72,6 +72,11 @@
 // router is what the ledger knows of one router process.
 type router struct {
 	retired bool
+	// unswept holds the processes that may hold intents of a retired router
+	// that the ledger does not know.
+	unswept map[identifier.Process]bool
+	// lostSweeps counts the processes that ended before they were swept.
+	lostSweeps int
 	// closedBelow is the sequence number below which all requests are closed.
 	closedBelow uint64
 	closed      map[uint64]bool
@@ -89,6 +94,9 @@
 	current  map[string]identifier.Process
 	routers  map[identifier.Process]*router
 	intents  map[identifier.Request]Intent
+	// forgotten holds the newest incarnation of each VM that has been retired
+	// and dropped, so that it cannot come back.
+	forgotten map[string]uint64
 }
 
 // New returns an empty ledger.
@@ -105,6 +113,8 @@
 		current:  map[string]identifier.Process{},
 		routers:  map[identifier.Process]*router{},
 		intents:  map[identifier.Request]Intent{},
+
+		forgotten: map[string]uint64{},
 	}
 }
 
@@ -151,35 +161,19 @@
 	}
 }
 
-// Register makes the router the current one of its VM. An older incarnation is
-// retired: what it held without a reservation becomes free, since its process
-// has ended. Its open intents stay reserved until they are settled.
-func (l *Ledger) Register(process identifier.Process) error {
-	current, ok := l.current[process.VM()]
-	if ok && process.Incarnation() < current.Incarnation() {
-		return ErrRetired
-	}
-	if ok && process == current {
-		return nil
-	}
-	if ok {
-		l.retire(current)
-	}
-	l.current[process.VM()] = process
-	l.routers[process] = &router{closedBelow: 1, closed: map[uint64]bool{}}
-	return nil
-}
-
-// IsCurrent reports whether the process is the newest incarnation of its VM.
+// IsCurrent reports whether the process may draw and open requests.
 func (l *Ledger) IsCurrent(process identifier.Process) bool {
-	return l.current[process.VM()] == process
+	r, ok := l.routers[process]
+	return ok && !r.retired
 }
 
 // Routers returns the current router processes.
 func (l *Ledger) Routers() []identifier.Process {
 	var routers []identifier.Process
 	for _, vm := range slices.Sorted(maps.Keys(l.current)) {
-		routers = append(routers, l.current[vm])
+		if l.IsCurrent(l.current[vm]) {
+			routers = append(routers, l.current[vm])
+		}
 	}
 	return routers
 }
@@ -202,6 +196,9 @@
 // Open records an intent, which must be covered by the grants of its router.
 // Recording it again changes nothing.
 func (l *Ledger) Open(i Intent) error {
+	if r, ok := l.routers[i.request.Router()]; ok && r.retired {
+		return ErrRetired
+	}
 	if a, ok := l.accounts[i.account]; ok {
 		_, known := l.intents[i.request]
 		if !known && i.reserve > a.heldBy(i.request.Router()) {
@@ -224,6 +221,10 @@
 	}
 }
 
+// OpenHeld records an intent that another router held while control could not
+// be reached. The router had covered it by its grants.
+func (l *Ledger) OpenHeld(i Intent) error { return l.open(i) }
+
 // open records an intent that the grants of all routers together cover.
 func (l *Ledger) open(i Intent) error {
 	r, ok := l.routers[i.request.Router()]
@@ -267,11 +268,9 @@
 	a.charged += amount
 	delete(l.intents, intent.request)
 	r.open--
+	r.closed[intent.request.Sequence()] = true
 	if r.retired {
-		l.giveBack(a, h, intent.reserve-amount)
-		l.forgetIfDone(process)
-	} else {
-		r.closed[intent.request.Sequence()] = true
+		l.recover(process)
 	}
 	if _, unrun := s.basis.(Unrun); !unrun {
 		a.list(Charge{intent.request, intent.service, intent.work, s.target, s.usage, amount, s.basis, s.at}, l.config.ChargesKept)
@@ -303,18 +302,6 @@
 	return Grant{d.account, h.granted, h.returned, l.keep(a, h), a.prospect(h)}, nil
 }
 
-// Lapse takes back what a router holds of an account without a reservation. It
-// must be called only once the router cannot reserve from it any more.
-func (l *Ledger) Lapse(process identifier.Process, name string) {
-	a, ok := l.accounts[name]
-	if !ok || a.holders[process] == nil {
-		return
-	}
-	h := a.holders[process]
-	h.want, h.demand = 0, 0
-	l.giveBack(a, h, h.held())
-}
-
 // Keep returns what a router should hold at most without a reservation. It
 // serves recalls between draws.
 func (l *Ledger) Keep(process identifier.Process, name string) (pricer.Amount, bool) {
@@ -427,42 +414,6 @@
 	a.allocated -= amount
 }
 
-func (l *Ledger) retire(process identifier.Process) {
-	l.routers[process].retired = true
-	for _, name := range l.Accounts() {
-		a := l.accounts[name]
-		if h := a.holders[process]; h != nil {
-			h.want, h.demand = 0, 0
-			l.giveBack(a, h, h.held())
-		}
-	}
-	l.forgetIfDone(process)
-}
-
-// forgetIfDone drops a retired process once nothing of it is open.
-func (l *Ledger) forgetIfDone(process identifier.Process) {
-	r := l.routers[process]
-	if !r.retired || r.open > 0 {
-		return
-	}
-	delete(l.routers, process)
-	for _, a := range l.accounts {
-		delete(a.holders, process)
-	}
-}
-
 func sortIntents(intents []Intent) {
 	slices.SortFunc(intents, func(a, b Intent) int { return compareRequests(a.request, b.request) })
 }
-
-// Held returns the names of the accounts from which the process holds something
-// without a reservation, in order.
-func (l *Ledger) Held(process identifier.Process) []string {
-	var held []string
-	for _, name := range l.Accounts() {
-		if h := l.accounts[name].holders[process]; h != nil && h.held() > 0 {
-			held = append(held, name)
-		}
-	}
-	return held
-}
