bookkeeper: size grants by demand, and serve wants at the end of a budget

Traces showed: routers that wanted something did not return what they held; freed grants were taken by others' top-ups; a recall made a router report that it wanted nothing; a want was told once and then forgotten; parts too small for a request lay idle; the demand of one router for a small budget is mostly chance. Ruled out: transfers between routers. Change: wants are kept until given up; wants go before top-ups; without enough to lend, wants are served one after the other; shares are smoothed over routers and a minute; the last of a budget is granted request by request. Also found by the budget property: two holders of an intent could end before their router was retired and nobody noticed (a request billed 0 times, its grant freed). Routers now tell what they know complete, with the retirements seen.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +26,7 @@
 
 const (
 	tickInterval   = time.Second
-	keepAliveTicks = 10
+	keepAliveTicks = 2
 	// unreachableAfter is how long batches have to fail before control counts
 	// as unreachable.
 	unreachableAfter   = time.Second
@@ -86,15 +87,20 @@
 	draws    map[string]bookkeeper.Draw
 	urgent   bool
 	inFlight int
+	endOnce  sync.Once
 	leaderVM string
 	drawn    chan struct{} // closed when grants have arrived
 	flushed  chan struct{} // closed when no closing is left
+	ended    chan struct{} // closed when control knows that this router has ended
 
 	sequence    uint64
 	open        map[uint64]bool
 	closedBelow uint64
 	unacked     int
 
+	cutOff       []bookkeeper.Intent // held by other routers, not known to control
+	retirements  uint64
+	ending       bool
 	registered   bool
 	sweeps       map[identifier.Process]bool
 	lastContact  time.Time // when the last batch that was answered was sent
@@ -111,6 +117,7 @@
 		draws:       map[string]bookkeeper.Draw{},
 		drawn:       make(chan struct{}),
 		flushed:     make(chan struct{}),
+		ended:       make(chan struct{}),
 		open:        map[uint64]bool{},
 		closedBelow: 1,
 		sweeps:      map[identifier.Process]bool{},
@@ -140,6 +147,14 @@
 	return !c.failingSince.IsZero() && time.Since(c.failingSince) >= unreachableAfter
 }
 
+// OpenedCutOff notes an intent that other routers hold. It is passed on to
+// control as soon as that can be reached.
+func (c *Committer) OpenedCutOff(intent bookkeeper.Intent) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cutOff = append(c.cutOff, intent)
+}
+
 // Sweep passes all held intents of retired routers on to control, and refuses
 // further ones.
 func (c *Committer) Sweep(retired []identifier.Process) {
@@ -243,20 +258,18 @@
 	}
 }
 
-// ReturnGrants gives back everything that is not reserved.
-func (c *Committer) ReturnGrants(ctx context.Context) error {
+// End gives back everything that is not reserved and tells control that this
+// router has ended. Nothing may be opened any more.
+func (c *Committer) End(ctx context.Context) error {
 	c.mutex.Lock()
 	for _, draw := range c.config.Allotter.ReturnAll() {
 		c.draws[draw.Account()] = draw
 	}
-	drawn, nothing := c.drawn, len(c.draws) == 0
+	c.ending = true
 	c.mutex.Unlock()
-	if nothing {
-		return nil
-	}
 	c.urge()
 	select {
-	case <-drawn:
+	case <-c.ended:
 		return nil
 	case <-ctx.Done():
 		return ErrNoControl
@@ -330,10 +343,12 @@
 	if c.failingSince.IsZero() {
 		b.held = append(b.held, c.config.Holder.Some(maxHeldInBatch)...)
 	}
+	b.register = !c.registered
+	b.cutOff, b.retirements = c.cutOff, c.retirements
+	b.ended = c.ending && len(c.closings)+len(c.openings)+c.inFlight == 0
 	if b.isEmpty() && !keepAlive {
 		return nil
 	}
-	b.register = !c.registered
 	c.inFlight++
 	return b
 }
@@ -363,11 +378,14 @@
 	held        []bookkeeper.Intent
 	swept       []identifier.Process
 	register    bool
+	ended       bool
+	cutOff      []bookkeeper.Intent
+	retirements uint64
 	sentAt      time.Time
 }
 
 func (b *batch) isEmpty() bool {
-	return len(b.openings)+len(b.closings)+len(b.draws)+len(b.held)+len(b.swept) == 0
+	return len(b.openings)+len(b.closings)+len(b.draws)+len(b.held)+len(b.swept)+len(b.cutOff) == 0 && !b.ended
 }
 
 func (b *batch) run() {
@@ -390,8 +408,11 @@
 		ClosedBelow: b.closedBelow,
 		Closings:    b.closings,
 		Draws:       b.draws,
-		Held:        b.held,
+		Held:        append(b.held[:len(b.held):len(b.held)], b.cutOff...),
 		Swept:       b.swept,
+		Complete:    true,
+		Ended:       b.ended,
+		Retirements: b.retirements,
 	}
 	for _, o := range b.openings {
 		config.Openings = append(config.Openings, o.opening)
@@ -450,16 +471,27 @@
 	c.inFlight--
 	c.mutex.Unlock()
 	for _, draw := range b.draws {
-		if draw.Want() > 0 || draw.Returned() > 0 {
-			c.config.Allotter.Account(draw.Account()).Want(draw.Want())
-		}
+		c.config.Allotter.Account(draw.Account()).Report()
 	}
 	c.Urge()
 }
 
+// dropKnown forgets the intents that control knows by now.
+func (c *Committer) dropKnown(known []bookkeeper.Intent) {
+	for _, intent := range known {
+		at := slices.IndexFunc(c.cutOff, func(i bookkeeper.Intent) bool { return i.Request() == intent.Request() })
+		if at >= 0 {
+			c.cutOff = slices.Delete(slices.Clone(c.cutOff), at, at+1)
+		}
+	}
+}
+
 func (b *batch) deliver(result applier.BatchResult) {
 	c := b.committer
-	if result.Refusal() != "" {
+	if b.ended {
+		c.endOnce.Do(func() { close(c.ended) })
+	}
+	if result.Refusal() != "" && !b.ended {
 		c.config.Retired(result.Refusal())
 		for _, o := range b.openings {
 			o.outcome <- applier.NewRefused(result.Refusal())
@@ -477,6 +509,8 @@
 	}
 	c.mutex.Lock()
 	c.registered = true
+	c.dropKnown(b.cutOff)
+	c.retirements = max(c.retirements, result.Retirements())
 	c.failingSince = time.Time{}
 	if b.sentAt.After(c.lastContact) {
 		c.lastContact = b.sentAt
--- a/internal/router/cutoff.go
+++ b/internal/router/cutoff.go
@@ -34,6 +34,7 @@
 	if time.Since(j.router.committer.LastContact()) >= term {
 		return admitter.Refuse(admitter.ControlUnreachable, "control has not been reached for too long")
 	}
+	j.router.committer.OpenedCutOff(j.intent())
 	j.opened = true
 	j.router.event("openedCutOff", j, "")
 	return nil
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -125,11 +125,17 @@
 // budget if they do not cover it.
 func (j *job) reserve(ctx context.Context) *admitter.Refusal {
 	need := j.admission.Reserve()
+	if j.takeReserve(need) {
+		return nil
+	}
+	j.account.Want(need)
+	defer func() {
+		j.account.GiveUp(need)
+		j.router.committer.Urge()
+	}()
 	deadline := time.Now().Add(j.admission.Access().Budget().BudgetWait())
 	for drawn := 0; ; drawn++ {
-		if j.account.Reserve(need) {
-			j.reserved = true
-			j.router.event("reserved", j, strconv.FormatInt(int64(need), 10)+" microcredits")
+		if j.takeReserve(need) {
 			return nil
 		}
 		if drawn > 0 && time.Now().After(deadline) {
@@ -139,7 +145,6 @@
 			return admitter.Refuse(admitter.ControlUnreachable, "this router holds %d microcredits of budget %s, the request can cost %d, and control cannot be reached",
 				j.account.Available(), j.account.Name(), need)
 		}
-		j.account.Want(need)
 		drawCtx, cancel := context.WithTimeout(ctx, drawTimeout)
 		err := j.router.committer.Draw(drawCtx)
 		cancel()
@@ -155,6 +160,15 @@
 	}
 }
 
+func (j *job) takeReserve(need pricer.Amount) bool {
+	if !j.account.Reserve(need) {
+		return false
+	}
+	j.reserved = true
+	j.router.event("reserved", j, strconv.FormatInt(int64(need), 10)+" microcredits")
+	return true
+}
+
 func (j *job) overBudget() *admitter.Refusal {
 	return admitter.Refuse(admitter.OverBudget,
 		"the request can cost up to %d microcredits and budget %s has %d left for it at this router; %d are prepaid",
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -197,7 +197,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainReturnTimeout)
 	defer cancel()
-	if err := r.committer.ReturnGrants(ctx); err != nil {
+	if err := r.committer.End(ctx); err != nil {
 		r.log.Warn("grants not returned", zap.Error(err))
 	}
 	r.log.Info("drained")
--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -17,7 +17,7 @@
 
 const (
 	// demandWindow is the time constant of the average spend.
-	demandWindow = 10 * time.Second
+	demandWindow = time.Minute
 	// idleAfter is the time without demand after which a report is not renewed.
 	idleAfter = 30 * time.Second
 )
@@ -27,9 +27,9 @@
 	name      string
 	available atomic.Int64
 	spent     atomic.Int64 // settled since the last tick
-	urgent    atomic.Int64 // the largest want that waits at present
 
 	mutex        sync.Mutex
+	wants        map[pricer.Amount]int // how many requests wait for each amount
 	granted      pricer.Amount
 	returned     pricer.Amount
 	sent         pricer.Amount
@@ -70,18 +70,61 @@
 	a.spent.Add(int64(cost))
 }
 
-// Want notes that a request waits for the amount, so that the next draw asks
-// for it.
+// Send takes up to the amount out of what is available, to pass it on to
+// another router, and returns how much it took.
+func (a *Account) Send(amount pricer.Amount) pricer.Amount {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	amount = min(amount, a.Available())
+	if amount <= 0 || !a.Reserve(amount) {
+		return 0
+	}
+	a.sent += amount
+	return amount
+}
+
+// Receive adds what another router has sent.
+func (a *Account) Receive(amount pricer.Amount) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.received += amount
+	a.available.Add(int64(amount))
+}
+
+// Want notes that a request waits for the amount, until GiveUp. Draws ask for
+// the largest amount that is waited for.
 func (a *Account) Want(amount pricer.Amount) {
-	for {
-		old := a.urgent.Load()
-		if int64(amount) <= old || a.urgent.CompareAndSwap(old, int64(amount)) {
-			break
-		}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.wants[amount]++
+	a.reportWanted = true
+}
+
+// GiveUp notes that a request no longer waits for the amount. The next draw
+// tells the ledger, so that others get what was kept together for it.
+func (a *Account) GiveUp(amount pricer.Amount) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.wants[amount]--
+	if a.wants[amount] <= 0 {
+		delete(a.wants, amount)
 	}
+	a.reportWanted = true
+}
+
+// Report makes the next urgent report include the account.
+func (a *Account) Report() {
 	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	a.reportWanted = true
-	a.mutex.Unlock()
+}
+
+func (a *Account) largestWant() pricer.Amount {
+	var largest pricer.Amount
+	for amount := range a.wants {
+		largest = max(largest, amount)
+	}
+	return largest
 }
 
 // Apply takes over a grant of the ledger. Older grants change nothing.
@@ -123,7 +166,7 @@
 func (a *Account) takeSurplus() {
 	for {
 		available := a.available.Load()
-		keep := max(int64(a.keep), a.urgent.Load())
+		keep := int64(a.keep)
 		if available <= keep {
 			return
 		}
@@ -134,8 +177,7 @@
 	}
 }
 
-// draw returns the next draw on the account. A request that goes on waiting
-// calls Want again, so that no want outlives its request.
+// draw returns the next draw on the account.
 func (a *Account) draw() bookkeeper.Draw {
 	a.takeSurplus()
 	a.sequence++
@@ -143,7 +185,7 @@
 	return bookkeeper.NewDraw(bookkeeper.DrawConfig{
 		Account:  a.name,
 		Sequence: a.sequence,
-		Want:     pricer.Amount(a.urgent.Swap(0)),
+		Want:     a.largestWant(),
 		Demand:   pricer.Amount(a.demand),
 		Returned: a.returned,
 		Sent:     a.sent,
@@ -154,7 +196,7 @@
 // tick updates the demand and reports whether the account is to be reported.
 func (a *Account) tick(now time.Time) bool {
 	spent := a.spent.Swap(0)
-	if spent > 0 || a.urgent.Load() > 0 {
+	if spent > 0 || len(a.wants) > 0 {
 		a.activeUntil = now.Add(idleAfter)
 	}
 	if elapsed := now.Sub(a.lastTickAt); !a.lastTickAt.IsZero() && elapsed > 0 {
@@ -178,7 +220,7 @@
 	if account, ok := a.accounts.Load(name); ok {
 		return account.(*Account)
 	}
-	account, _ := a.accounts.LoadOrStore(name, &Account{name: name})
+	account, _ := a.accounts.LoadOrStore(name, &Account{name: name, wants: map[pricer.Amount]int{}})
 	return account.(*Account)
 }
 
@@ -190,7 +232,7 @@
 
 // Urgent returns the draws that should not wait for the next tick.
 func (a *Allotter) Urgent() []bookkeeper.Draw {
-	return a.collect(func(account *Account) bool { return account.reportWanted })
+	return a.collect(func(account *Account) bool { return account.reportWanted || len(account.wants) > 0 })
 }
 
 // ReturnAll gives everything that is available back and returns the draws that
@@ -198,7 +240,7 @@
 func (a *Allotter) ReturnAll() []bookkeeper.Draw {
 	return a.collect(func(account *Account) bool {
 		account.keep = 0
-		account.urgent.Store(0)
+		clear(account.wants)
 		return account.granted > account.returned
 	})
 }
--- a/pkg/coordination/replicator/replica_test.go
+++ b/pkg/coordination/replicator/replica_test.go
@@ -42,12 +42,11 @@
 	}
 }
 
-func persist(r *Replica) Output {
+func persist(r *Replica) {
 	o := r.Take()
 	if n := len(o.entries); n > 0 {
 		r.Persisted(o.entries[n-1].index)
 	}
-	return o
 }
 
 // Guards: nothing committed is lost. A snapshot that was delayed on the network
--- a/pkg/state/applier/applier.go
+++ b/pkg/state/applier/applier.go
@@ -94,6 +94,9 @@
 	draws       []bookkeeper.Draw
 	held        []bookkeeper.Intent
 	swept       []identifier.Process
+	complete    bool
+	ended       bool
+	retirements uint64
 }
 
 // BatchConfig holds the parts of a batch.
@@ -115,6 +118,14 @@
 	// Swept are retired processes of which this router holds no other intents
 	// than those in Held, and from which it takes no more.
 	Swept []identifier.Process
+	// Complete says that, with this batch, control knows all open requests of
+	// the router.
+	Complete bool
+	// Ended says that the router ends with this batch. It must be Complete.
+	Ended bool
+	// Retirements is the number of retirements in the newest result that the
+	// router has seen.
+	Retirements uint64
 }
 
 // NewBatch returns a batch with the given parts.
@@ -128,6 +139,9 @@
 		draws:       c.Draws,
 		held:        c.Held,
 		swept:       c.Swept,
+		complete:    c.Complete,
+		ended:       c.Ended,
+		retirements: c.Retirements,
 	}
 }
 
@@ -165,8 +179,11 @@
 
 // BatchResult answers a batch. Its parts are in the order of the batch's parts.
 type BatchResult struct {
-	fences   []identifier.Process
-	refusal  string
+	fences  []identifier.Process
+	refusal string
+
+	retirements uint64
+
 	openings []OpeningOutcome
 	grants   []bookkeeper.Grant
 }
@@ -174,6 +191,9 @@
 // Refusal returns why the whole batch was refused, or "".
 func (r BatchResult) Refusal() string { return r.refusal }
 
+// Retirements returns how many processes had been retired at the batch.
+func (r BatchResult) Retirements() uint64 { return r.retirements }
+
 // Fences returns, for a batch that registers its router, the newest retired
 // process of each VM.
 func (r BatchResult) Fences() []identifier.Process { return r.fences }
@@ -332,7 +352,10 @@
 	for _, retired := range b.swept {
 		s.ledger.Sweep(retired, b.router)
 	}
-	var result BatchResult
+	if b.complete {
+		s.ledger.Complete(b.router, b.retirements)
+	}
+	result := BatchResult{retirements: s.ledger.Retirements()}
 	if b.register {
 		result.fences = s.ledger.Fences()
 	}
@@ -345,6 +368,9 @@
 		result.openings = append(result.openings, s.open(opening))
 	}
 	s.ledger.CloseBelow(b.router, b.closedBelow)
+	if b.ended {
+		s.ledger.End(b.router)
+	}
 	return result
 }
 
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -38,6 +38,9 @@
 	Draws       []bookkeeper.WireDraw
 	Held        []bookkeeper.WireIntent
 	Swept       []wireProcess
+	Complete    bool
+	Ended       bool
+	Retirements uint64
 }
 
 type wireLowering struct {
@@ -74,7 +77,10 @@
 	Refusal  string
 	Fences   []wireProcess
 	Openings []wireOpeningOutcome
-	Grants   []bookkeeper.WireGrant
+
+	Retirements uint64
+
+	Grants []bookkeeper.WireGrant
 }
 
 type wireState struct {
@@ -146,7 +152,7 @@
 
 // EncodeBatchResult returns the CBOR form of the answer to a batch.
 func EncodeBatchResult(r BatchResult) ([]byte, error) {
-	w := wireBatchResult{Refusal: r.refusal}
+	w := wireBatchResult{Refusal: r.refusal, Retirements: r.retirements}
 	for _, p := range r.fences {
 		w.Fences = append(w.Fences, processToWire(p))
 	}
@@ -175,7 +181,7 @@
 	if err := encoder.Unmarshal(data, &w); err != nil {
 		return BatchResult{}, err
 	}
-	r := BatchResult{refusal: w.Refusal}
+	r := BatchResult{refusal: w.Refusal, retirements: w.Retirements}
 	for _, p := range w.Fences {
 		r.fences = append(r.fences, identifier.NewProcess(p.VM, p.Incarnation))
 	}
@@ -256,6 +262,9 @@
 		Incarnation: b.router.Incarnation(),
 		Register:    b.register,
 		ClosedBelow: b.closedBelow,
+		Complete:    b.complete,
+		Ended:       b.ended,
+		Retirements: b.retirements,
 	}
 	for _, o := range b.openings {
 		wire := wireOpening{Intent: bookkeeper.IntentToWire(o.intent)}
@@ -293,6 +302,9 @@
 		router:      identifier.NewProcess(w.VM, w.Incarnation),
 		register:    w.Register,
 		closedBelow: w.ClosedBelow,
+		complete:    w.Complete,
+		ended:       w.Ended,
+		retirements: w.Retirements,
 	}
 	for _, wire := range w.Openings {
 		intent, err := bookkeeper.IntentFromWire(wire.Intent)
--- a/pkg/state/applier/property_test.go
+++ b/pkg/state/applier/property_test.go
@@ -49,6 +49,8 @@
 	running    []*request
 	closings   []applier.Closing
 	sweeps     []identifier.Process
+	cutOff     []bookkeeper.Intent // held by others and not known to control
+	seen       uint64
 }
 
 // world is the real state machine, real grants and real holders over a network
@@ -118,6 +120,8 @@
 // answer is lost.
 func (w *world) send(v *vm, c applier.BatchConfig) (applier.BatchResult, bool) {
 	c.Router, c.Register = v.process, !v.registered
+	c.Held = append(c.Held, v.cutOff...)
+	c.Complete, c.Retirements = true, v.seen
 	encoded, err := applier.EncodeBatch(applier.NewBatch(c))
 	if err != nil {
 		w.t.Fatal(err)
@@ -138,6 +142,8 @@
 		v.held.Fence(fence)
 	}
 	v.registered = true
+	v.cutOff = nil
+	v.seen = result.Retirements()
 	v.grants.Apply(result.Grants())
 	return result, true
 }
@@ -153,11 +159,13 @@
 // report does what a router does about once a second.
 func (w *world) report(v *vm) {
 	v.grants.Tick(time.Unix(int64(w.random.IntN(100)), 0))
-	v.grants.Account(account).Want(pricer.Amount(w.random.IntN(80)))
+	want := pricer.Amount(w.random.IntN(80))
+	v.grants.Account(account).Want(want)
 	if w.random.IntN(3) == 0 {
 		v.grants.Account(account).Recall(pricer.Amount(w.random.IntN(100)))
 	}
 	draws := v.grants.Urgent()
+	v.grants.Account(account).GiveUp(want)
 	v.sweeps = nil
 	if !v.cut {
 		v.sweeps = w.state.Ledger().Unswept(v.process)
@@ -220,6 +228,9 @@
 			}
 		}
 	}
+	if acks == bookkeeper.IntentHolders {
+		v.cutOff = append(v.cutOff, r.intent)
+	}
 	return acks == bookkeeper.IntentHolders
 }
 
--- a/pkg/state/bookkeeper/codec.go
+++ b/pkg/state/bookkeeper/codec.go
@@ -80,6 +80,7 @@
 	BroughtForward int64
 	Lowering       bool
 	LowerTo        int64
+	Largest        int64
 	Holders        []wireHolder
 	Charges        []WireSettlement
 }
@@ -93,6 +94,7 @@
 	Closed      []uint64
 	Unswept     []wireProcess
 	LostSweeps  int
+	Seen        uint64
 }
 
 type wireProcess struct {
@@ -108,6 +110,8 @@
 	Intents   []WireIntent
 	Current   []wireProcess
 	Forgotten []wireProcess
+
+	Retirements uint64
 }
 
 // IntentToWire returns the CBOR form of the intent.
@@ -246,7 +250,7 @@
 
 // Snapshot returns the CBOR form of the whole ledger.
 func (l *Ledger) Snapshot() ([]byte, error) {
-	var w wireLedger
+	w := wireLedger{Retirements: l.retirements}
 	for _, name := range l.Accounts() {
 		w.Accounts = append(w.Accounts, accountToWire(name, l.accounts[name]))
 	}
@@ -257,6 +261,7 @@
 			Retired:     r.retired,
 			ClosedBelow: r.closedBelow,
 			LostSweeps:  r.lostSweeps,
+			Seen:        r.seenRetirements,
 		}
 		for other := range r.unswept {
 			wire.Unswept = append(wire.Unswept, wireProcess{VM: other.VM(), Incarnation: other.Incarnation()})
@@ -300,6 +305,8 @@
 			closed:      map[uint64]bool{},
 			unswept:     map[identifier.Process]bool{},
 			lostSweeps:  wire.LostSweeps,
+
+			seenRetirements: wire.Seen,
 		}
 		for _, other := range wire.Unswept {
 			r.unswept[identifier.NewProcess(other.VM, other.Incarnation)] = true
@@ -309,6 +316,7 @@
 		}
 		l.routers[process] = r
 	}
+	l.retirements = w.Retirements
 	for _, wire := range w.Current {
 		l.current[wire.VM] = identifier.NewProcess(wire.VM, wire.Incarnation)
 	}
@@ -340,6 +348,7 @@
 		BroughtForward: int64(a.broughtForward),
 		Lowering:       a.lowering,
 		LowerTo:        int64(a.lowerTo),
+		Largest:        int64(a.largest),
 	}
 	for process, h := range a.holders {
 		w.Holders = append(w.Holders, wireHolder{
@@ -368,6 +377,7 @@
 		broughtForward: pricer.Amount(w.BroughtForward),
 		lowering:       w.Lowering,
 		lowerTo:        pricer.Amount(w.LowerTo),
+		largest:        pricer.Amount(w.Largest),
 		holders:        map[identifier.Process]*holder{},
 	}
 	for _, wire := range w.Holders {
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -62,6 +62,7 @@
 	reserved       pricer.Amount
 	lowering       bool
 	lowerTo        pricer.Amount
+	largest        pricer.Amount // the largest recent reservation
 	holders        map[identifier.Process]*holder
 	charges        []Charge
 	broughtForward pricer.Amount
@@ -75,7 +76,11 @@
 	// unswept holds the processes that may hold intents of a retired router
 	// that the ledger does not know.
 	unswept map[identifier.Process]bool
-	// lostSweeps counts the processes that ended before they were swept.
+	// seenRetirements is how many processes had been retired when the ledger
+	// last knew all requests of the router.
+	seenRetirements uint64
+	// lostSweeps counts the processes that were retired since then and cannot
+	// be swept. It is set when the router is retired.
 	lostSweeps int
 	// closedBelow is the sequence number below which all requests are closed.
 	closedBelow uint64
@@ -96,7 +101,8 @@
 	intents  map[identifier.Request]Intent
 	// forgotten holds the newest incarnation of each VM that has been retired
 	// and dropped, so that it cannot come back.
-	forgotten map[string]uint64
+	forgotten   map[string]uint64
+	retirements uint64
 }
 
 // New returns an empty ledger.
@@ -247,6 +253,7 @@
 	l.intents[i.request] = i
 	r.open++
 	a.reserved += i.reserve
+	a.largest = max(i.reserve, a.largest-a.largest/largestDecay)
 	a.holderOf(i.request.Router()).reserved += i.reserve
 	return nil
 }
--- a/pkg/state/bookkeeper/policy.go
+++ b/pkg/state/bookkeeper/policy.go
@@ -31,14 +31,16 @@
 const (
 	// keptShare is the part of the spendable budget that routers may hold, in
 	// percent. The rest serves routers whose demand has just risen.
-	keptSharePercent = 90
+	keptSharePercent = 98
 	// A router is topped up once it holds less than lowPercent of its share and
 	// is asked to return what it holds beyond highPercent.
-	lowPercent  = 60
-	highPercent = 150
-	// baseDemandDivisor gives a router without demand a small part of the
-	// weight, so that its first requests find something.
-	baseDemandDivisor = 50
+	lowPercent  = 90
+	highPercent = 115
+	// evenPercent of the mean demand is added to the demand of each router. The
+	// demand of one router for a small budget is mostly chance.
+	evenPercent = 50
+	// largestDecay is how slowly the largest reservation is forgotten.
+	largestDecay = 256
 )
 
 // share returns what the holder should have, given all that is spendable.
@@ -61,72 +63,117 @@
 		return 0
 	}
 	spendable = percent(spendable, keptSharePercent)
+	// Parts that cover no request help nobody: the last of a budget is granted
+	// request by request.
+	if spendable/holders < a.largest {
+		return 0
+	}
 	switch l.config.Policy.(type) {
 	case PerRequest:
 		return 0
 	case EqualShares:
 		return spendable / holders
 	case DemandWeighted:
-		base := demand/baseDemandDivisor/holders + 1
+		base := percent(demand, evenPercent)/holders + 1
 		return scale(spendable, h.demand+base, demand+base*holders)
 	default:
 		panic(fmt.Sprintf("bookkeeper: unknown policy %T", l.config.Policy))
 	}
 }
 
-// grant tops the holder up to its share, and to its want in any case if that
-// much is free.
+// grant gives the holder what it wants if that much is free, and tops it up to
+// its share from what nobody else waits for.
 func (l *Ledger) grant(a *account, h *holder) {
-	if a.lowering && a.allocated >= a.lowerTo {
-		return
-	}
-	share := l.share(a, h)
-	goal := h.want
-	if h.held() < percent(share, lowPercent) || h.held() < h.want {
-		goal = max(goal, share)
-	}
-	amount := min(goal-h.held(), a.free())
+	free := a.free()
 	if a.lowering {
-		amount = min(amount, a.lowerTo-a.allocated)
+		free = min(free, a.lowerTo-a.allocated)
 	}
+	var amount pricer.Amount
 	// A part of a want helps nobody and would lie idle until it is recalled.
-	if h.held()+amount < h.want || amount <= 0 {
+	if want := h.want - h.held(); want > 0 && want <= free {
+		amount = want
+	}
+	share := l.share(a, h)
+	if h.held() < percent(share, lowPercent) {
+		amount = max(amount, min(share-h.held(), free-a.lackOfOthers(h)))
+	}
+	if amount <= 0 || h.held()+amount < h.want {
 		return
 	}
 	h.granted += amount
 	a.allocated += amount
 }
 
+// lackOfOthers returns what other holders want beyond what they hold.
+func (a *account) lackOfOthers(h *holder) pricer.Amount {
+	var lack pricer.Amount
+	for _, other := range a.holders {
+		if other != h && other.starved() {
+			lack += other.want - max(0, other.held())
+		}
+	}
+	return lack
+}
+
 // keep returns how much the holder may keep unreserved.
 func (l *Ledger) keep(a *account, h *holder) pricer.Amount {
-	held := max(0, h.held())
 	if a.lowering && a.allocated > a.lowerTo {
 		return 0
 	}
 	if _, ok := l.config.Policy.(PerRequest); ok {
 		return max(h.want, 0)
 	}
-	if short := a.shortfall(); short > 0 && h.held() >= h.want {
-		var lendable pricer.Amount
-		for _, other := range a.holders {
-			if other.held() >= other.want {
-				lendable += max(0, other.held())
-			}
+	if short := a.shortfall(); short > 0 {
+		return a.keepWhenShort(h, short)
+	}
+	return max(h.want, percent(l.share(a, h), highPercent))
+}
+
+// keepWhenShort returns how much a holder may keep while others want more than
+// is free. Holders without a want of their own lend in proportion to what they
+// hold. If that is not enough, the wants are served one after the other: all
+// but one holder return what covers nothing where it is.
+func (a *account) keepWhenShort(h *holder, short pricer.Amount) pricer.Amount {
+	var lendable pricer.Amount
+	for _, other := range a.holders {
+		if !other.starved() {
+			lendable += max(0, other.held())
 		}
+	}
+	switch {
+	case !h.starved():
+		held := max(0, h.held())
 		return max(0, held-scale(held, min(short, lendable), max(lendable, 1))-1)
+	case lendable >= short || h == a.firstStarved():
+		return h.want
+	default:
+		return 0
 	}
-	return max(h.want, percent(l.share(a, h), highPercent))
 }
 
-// shortfall returns what routers want beyond what they hold and what is free.
-func (a *account) shortfall() pricer.Amount {
-	var short pricer.Amount
-	for _, h := range a.holders {
-		if h.want > max(0, h.held()) {
-			short += h.want - max(0, h.held())
+// starved reports whether the holder wants more than it holds.
+func (h *holder) starved() bool { return h.want > max(0, h.held()) }
+
+// firstStarved returns the starved holder that lacks least.
+func (a *account) firstStarved() *holder {
+	var first identifier.Process
+	for process, h := range a.holders {
+		if !h.starved() {
+			continue
+		}
+		current, ok := a.holders[first]
+		lacks := h.want - h.held()
+		if !ok || lacks < current.want-current.held() ||
+			lacks == current.want-current.held() && compareProcesses(process, first) < 0 {
+			first = process
 		}
 	}
-	return max(0, short-a.free())
+	return a.holders[first]
+}
+
+// shortfall returns what routers want beyond what they hold and what is free.
+func (a *account) shortfall() pricer.Amount {
+	return max(0, a.lackOfOthers(nil)-a.free())
 }
 
 // prospect says whether the holder's want is covered or can come to be.
--- a/pkg/state/bookkeeper/retirement.go
+++ b/pkg/state/bookkeeper/retirement.go
@@ -8,8 +8,8 @@
 )
 
 // IntentHolders is how many other routers record an intent that cannot reach
-// the ledger. As long as fewer of them have ended without answering, one that
-// answers knows every such intent.
+// the ledger. As long as fewer routers have ended since the ledger last knew all
+// of a router's requests, one that answers knows every such intent.
 const IntentHolders = 2
 
 // Register makes the router the current one of its VM. An older incarnation is
@@ -32,7 +32,7 @@
 		l.Retire(current)
 	}
 	l.current[process.VM()] = process
-	l.routers[process] = &router{closedBelow: 1, closed: map[uint64]bool{}}
+	l.routers[process] = &router{closedBelow: 1, closed: map[uint64]bool{}, seenRetirements: l.retirements}
 	return nil
 }
 
@@ -49,6 +49,8 @@
 		return
 	}
 	r.retired = true
+	r.lostSweeps = int(l.retirements - r.seenRetirements)
+	l.retirements++
 	r.unswept = map[identifier.Process]bool{}
 	for _, other := range l.current {
 		if other != process && !l.routers[other].retired {
@@ -71,6 +73,25 @@
 	l.recover(process)
 }
 
+// Retirements returns how many processes have been retired so far.
+func (l *Ledger) Retirements() uint64 { return l.retirements }
+
+// Complete notes that the router has told the ledger all its open requests, at
+// a time when it had seen the given number of retirements. Processes that have
+// been retired before cannot have held anything that the ledger does not know.
+func (l *Ledger) Complete(process identifier.Process, retirements uint64) {
+	if r, ok := l.routers[process]; ok && !r.retired {
+		r.seenRetirements = max(r.seenRetirements, min(retirements, l.retirements))
+	}
+}
+
+// End retires a router that says itself that it has ended and that the ledger
+// knows all its requests.
+func (l *Ledger) End(process identifier.Process) {
+	l.Retire(process)
+	l.Release(process)
+}
+
 // Sweep notes that the router holds no more intents of the retired process than
 // those it has recorded here, and that it will take no more.
 func (l *Ledger) Sweep(retired, by identifier.Process) {
