proof: real processes under failure; mend what they showed

Cause: the first runs of the proofs failed on four faults. Change and cause of each: - a batch that failed after a later one had been answered left a router counting control as unreachable (503 on the first use of a budget): failures count from batches sent after the last contact, and an empty batch follows a failure; - a keyed request that was refused before its key was looked up told notRun although its first attempt had run: the key is looked up first; - entries without a value were taken for unchanged and dropped, so that strikes never left their router: an empty value is sent as one; - strikes are sent before the caller is answered.

--- a/internal/commander/daemons.go
+++ b/internal/commander/daemons.go
@@ -75,7 +75,7 @@
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
-	log.Info("ended", zap.Error(err))
+	log.Info("ended", recorder.Err(err))
 	return err
 }
 
--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/holder"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
@@ -291,7 +292,7 @@
 			c.report(c.config.Allotter.Tick(time.Now()))
 		case <-c.wake:
 		}
-		if b := c.collect(ticks >= keepAliveTicks || c.Unreachable() || !c.Registered()); b != nil {
+		if b := c.collect(ticks >= keepAliveTicks); b != nil {
 			ticks = 0
 			b.ctx = ctx
 			running.Go(b.run)
@@ -346,7 +347,9 @@
 	b.register = !c.registered
 	b.cutOff, b.retirements = c.cutOff, c.retirements
 	b.ended = c.ending && len(c.closings)+len(c.openings)+c.inFlight == 0
-	if b.isEmpty() && !keepAlive {
+	// After a failure even an empty batch is sent, to learn that control is back.
+	mustSend := keepAlive || !c.registered || !c.failingSince.IsZero()
+	if b.isEmpty() && !mustSend {
 		return nil
 	}
 	c.inFlight++
@@ -393,7 +396,7 @@
 	result, err := b.send()
 	if err != nil {
 		b.committer.failed.Inc(1)
-		b.committer.config.Log.Debug("batch not committed", zap.Error(err))
+		b.committer.config.Log.Debug("batch not committed", recorder.Err(err))
 		b.requeue()
 		return
 	}
@@ -459,7 +462,8 @@
 	for _, process := range b.swept {
 		c.sweeps[process] = true
 	}
-	if c.failingSince.IsZero() {
+	// A batch may fail after one that was sent later has been answered.
+	if c.failingSince.IsZero() && b.sentAt.After(c.lastContact) {
 		c.failingSince = b.sentAt
 	}
 	c.mutex.Unlock()
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -34,6 +34,7 @@
 	vm               string
 	dataCentre       string
 	linkAddress      string
+	advertised       string
 	operatorAddress  string
 	callerAddress    string
 	controlAddresses []string
@@ -55,6 +56,10 @@
 // LinkAddress returns where links from other processes are accepted.
 func (s Settings) LinkAddress() string { return s.linkAddress }
 
+// AdvertisedAddress returns the address at which other processes reach the link
+// address.
+func (s Settings) AdvertisedAddress() string { return s.advertised }
+
 // OperatorAddress returns where operators and the platform are served.
 func (s Settings) OperatorAddress() string { return s.operatorAddress }
 
@@ -100,6 +105,7 @@
 	DataCentre        string   `json:"dataCentre" validate:"required"`
 	DataCentres       []string `json:"dataCentres" validate:"required,unique"`
 	LinkAddress       string   `json:"linkAddress" validate:"required,hostname_port"`
+	AdvertisedAddress string   `json:"advertisedAddress,omitempty" validate:"omitempty,hostname_port"`
 	OperatorAddress   string   `json:"operatorAddress" validate:"required,hostname_port"`
 	CallerAddress     string   `json:"callerAddress,omitempty" validate:"omitempty,hostname_port"`
 	ControlAddresses  []string `json:"controlAddresses" validate:"required,unique,dive,hostname_port"`
@@ -184,12 +190,16 @@
 		vm:               w.VM,
 		dataCentre:       w.DataCentre,
 		linkAddress:      w.LinkAddress,
+		advertised:       w.LinkAddress,
 		operatorAddress:  w.OperatorAddress,
 		callerAddress:    w.CallerAddress,
 		controlAddresses: w.ControlAddresses,
 		logLevel:         w.LogLevel,
 		drainNotice:      defaultDrainNotice,
 	}
+	if w.AdvertisedAddress != "" {
+		s.advertised = w.AdvertisedAddress
+	}
 	if !contains(w.DataCentres, w.DataCentre) {
 		return s, errors.Errorf("dataCentre: %q is not in dataCentres %v: correct one of them", w.DataCentre, w.DataCentres)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -87,7 +87,7 @@
 func (c *Controller) openEndpoint() error {
 	var err error
 	c.endpoint, err = linker.New(linker.Config{
-		Identity:     linker.NewIdentity(c.member, c.settings.DataCentre(), linker.Control, c.settings.LinkAddress()),
+		Identity:     linker.NewIdentity(c.member, c.settings.DataCentre(), linker.Control, c.settings.AdvertisedAddress()),
 		FleetKey:     c.settings.FleetKey(),
 		Handle:       c.handle,
 		Connected:    c.connected,
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
@@ -64,7 +65,7 @@
 			continue
 		}
 		if _, err := peer.Call(ctx, messenger.Join, nil); err != nil {
-			c.log.Info("join not yet possible", zap.Error(err))
+			c.log.Info("join not yet possible", recorder.Err(err))
 		}
 	}
 }
@@ -76,7 +77,7 @@
 			return r.Promote(learner)
 		})
 		if err != nil {
-			c.log.Info("learner not yet promoted", zap.Stringer("member", learner), zap.Error(err))
+			c.log.Info("learner not yet promoted", zap.Stringer("member", learner), recorder.Err(err))
 		}
 	}
 }
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -65,10 +65,11 @@
 	waiting int64
 	hits    int64
 	misses  int64
+	nonces  map[string]bool
 }
 
 func newEngine(config Config) *engine {
-	return &engine{config: config, slots: make(chan struct{}, config.Capacity), streams: map[string]*stream{}}
+	return &engine{config: config, slots: make(chan struct{}, config.Capacity), streams: map[string]*stream{}, nonces: map[string]bool{}}
 }
 
 func (e *engine) load() (running, waiting int64) {
@@ -132,6 +133,9 @@
 		delete(e.streams, e.order[0])
 		e.order = e.order[1:]
 	}
+	if m := noncePattern.FindSubmatch(body); m != nil {
+		e.nonces[string(m[1])] = true
+	}
 	e.waiting++
 	g := &generation{engine: e, stream: s, chat: c, body: body, ctx: ctx}
 	go g.run()
@@ -355,6 +359,12 @@
 	return content.String()
 }
 
+func (e *engine) hasSeen(nonce string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.nonces[nonce]
+}
+
 func (e *engine) record(id string) (jsonUsageRecord, bool) {
 	e.mutex.Lock()
 	s, ok := e.streams[id]
--- a/internal/imitator/imitator.go
+++ b/internal/imitator/imitator.go
@@ -109,6 +109,7 @@
 	routes.Get("/v1/streams/*", i.engine.serveStream)
 	routes.Get("/usage/*", i.serveUsage)
 	routes.Get("/runs", i.orders.serveRuns)
+	routes.Get("/nonces/{nonce}", i.serveNonce)
 	routes.HandleFunc("/*", i.orders.serve)
 	i.handler = routes
 	return i
@@ -213,6 +214,16 @@
 	return i.loads[0].running, i.loads[0].waiting
 }
 
+// serveNonce answers 200 if a request whose body contains the nonce has come in.
+func (i *Imitator) serveNonce(w http.ResponseWriter, r *http.Request) {
+	nonce := chi.URLParam(r, "nonce")
+	if i.engine.hasSeen(nonce) || i.orders.hasSeen(nonce) {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(w, "unknown nonce", http.StatusNotFound)
+}
+
 type jsonUsageRecord struct {
 	Finished         bool  `json:"finished"`
 	Status           int   `json:"status"`
--- a/internal/imitator/orders.go
+++ b/internal/imitator/orders.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +71,12 @@
 	return append([]Run(nil), i.orders.runs...)
 }
 
+func (o *orders) hasSeen(nonce string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.ContainsFunc(o.runs, func(r Run) bool { return strings.Contains(r.Body, nonce) })
+}
+
 func (o *orders) record(id string) (jsonUsageRecord, bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -140,3 +140,12 @@
 	}
 	return selected
 }
+
+// Err returns the log field of an error. It holds one line, without the stack
+// that the error may carry.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -28,7 +28,7 @@
 		case <-r.refresh:
 		}
 		if err := r.fetchConfiguration(ctx); err != nil {
-			r.log.Debug("configuration not fetched", zap.Error(err))
+			r.log.Debug("configuration not fetched", recorder.Err(err))
 			select {
 			case <-time.After(configurationRetry):
 			case <-ctx.Done():
--- a/internal/router/cutoff.go
+++ b/internal/router/cutoff.go
@@ -8,6 +8,7 @@
 
 	"radishshed.example/radishshed/internal/admitter"
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/pkg/protocol/classifier"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
@@ -19,7 +20,8 @@
 // it be known whether the key is in use.
 func (j *job) openCutOff(ctx context.Context) *admitter.Refusal {
 	if !j.admission.Key().IsZero() {
-		return admitter.Refuse(admitter.ControlUnreachable, "control cannot be reached to claim the Idempotency-Key")
+		return admitter.RefuseWith(classifier.MayHaveRun{}, admitter.ControlUnreachable,
+			"control cannot be reached to learn whether a request with this Idempotency-Key has run")
 	}
 	term := j.admission.Access().Budget().CutOffSpending()
 	if silence := time.Since(j.router.committer.LastContact()); silence >= term {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -11,6 +11,7 @@
 
 	"radishshed.example/radishshed/internal/admitter"
 	"radishshed.example/radishshed/internal/forwarder"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/claimer"
@@ -85,6 +86,12 @@
 			lease.Release()
 		}
 	}()
+	if refusal != nil && !j.submitted && !j.admission.Key().IsZero() {
+		refusal = j.look(ctx, w, refusal)
+		if refusal == nil {
+			return // answered by a request with the same key
+		}
+	}
 	if refusal != nil {
 		j.abandon()
 		j.router.event("refused", j, refusal.Error())
@@ -210,6 +217,30 @@
 	}
 }
 
+// look finds out whether the key of a request that is refused is in use. If it
+// is, the caller gets the answer of the request that holds it; if that cannot be
+// known, the caller must not be told that its request was not run.
+func (j *job) look(ctx context.Context, w http.ResponseWriter, refusal *admitter.Refusal) *admitter.Refusal {
+	inDoubt := admitter.RefuseWith(classifier.MayHaveRun{}, refusal.Kind(), "%s", refusal.Message())
+	deadline := time.Now().Add(maxJoinWait)
+	for {
+		lookCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), openTimeout)
+		outcome, err := j.router.committer.Open(lookCtx, applier.NewLook(j.intent(), j.admission.Key(), j.admission.Fingerprint()))
+		cancel()
+		if err != nil {
+			return inDoubt
+		}
+		claimed, ok := outcome.(applier.Claimed)
+		if !ok {
+			return refusal
+		}
+		done, refusal := j.join(ctx, w, claimed.Outcome(), deadline)
+		if done || refusal != nil {
+			return refusal
+		}
+	}
+}
+
 // reacquire chooses a target anew if the first one was given back while the
 // request waited for another one with its key.
 func (j *job) reacquire(ctx context.Context, lease **selector.Lease) *admitter.Refusal {
@@ -278,7 +309,7 @@
 		}
 		j.router.log.Info("target failed",
 			zap.Stringer("request", j.request), zap.String("organisation", j.organisation()),
-			zap.String("target", target.Name()), zap.Stringer("verdict", failure.Verdict()), zap.Error(failure))
+			zap.String("target", target.Name()), zap.Stringer("verdict", failure.Verdict()), recorder.Err(failure))
 		(*lease).Release()
 		next, refusal := j.nextTarget(ctx, target, failure)
 		if refusal != nil {
@@ -319,9 +350,11 @@
 
 // strike tells the fleet that the target broke on the request.
 func (j *job) strike(target *selector.Target) {
+	// Other routers must know before the caller can send the request again.
+	defer j.router.spreader.Flush()
 	entry := strikeEntry(j.admission.Fingerprint(), target.Name(), time.Now())
 	if err := j.router.spreader.Put(entry); err != nil {
-		j.router.log.Warn("strike not spread", zap.Error(err))
+		j.router.log.Warn("strike not spread", recorder.Err(err))
 	}
 }
 
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -53,7 +53,7 @@
 }
 
 func (r *Router) announceSelf() {
-	value, err := json.Marshal(jsonPresence{r.settings.LinkAddress(), r.settings.DataCentre(), r.draining.Load()})
+	value, err := json.Marshal(jsonPresence{r.settings.AdvertisedAddress(), r.settings.DataCentre(), r.draining.Load()})
 	if err != nil {
 		return // strings and a boolean always encode
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -121,7 +121,7 @@
 	})
 	var err error
 	r.endpoint, err = linker.New(linker.Config{
-		Identity:     linker.NewIdentity(r.process, config.Settings.DataCentre(), linker.Router, config.Settings.LinkAddress()),
+		Identity:     linker.NewIdentity(r.process, config.Settings.DataCentre(), linker.Router, config.Settings.AdvertisedAddress()),
 		FleetKey:     config.Settings.FleetKey(),
 		Handle:       r.handle,
 		Connected:    func(p *linker.Peer) { r.spreader.Add(updatesLink{p}) },
@@ -189,16 +189,16 @@
 		return
 	}
 	if err := public.Shutdown(ctx); err != nil {
-		r.log.Warn("requests cut off", zap.Error(err))
+		r.log.Warn("requests cut off", recorder.Err(err))
 	}
 	r.background.Wait()
 	if err := r.committer.Flush(ctx); err != nil {
-		r.log.Warn("settlements not committed", zap.Error(err))
+		r.log.Warn("settlements not committed", recorder.Err(err))
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainReturnTimeout)
 	defer cancel()
 	if err := r.committer.End(ctx); err != nil {
-		r.log.Warn("grants not returned", zap.Error(err))
+		r.log.Warn("grants not returned", recorder.Err(err))
 	}
 	r.log.Info("drained")
 }
--- a/pkg/coordination/claimer/claimer.go
+++ b/pkg/coordination/claimer/claimer.go
@@ -155,13 +155,22 @@
 		t.byRequest[request] = key
 		return Granted{}
 	}
+	if c.request == request && c.fingerprint == fingerprint && !c.finished {
+		return Granted{}
+	}
+	return t.Look(key, fingerprint)
+}
+
+// Look says what Claim would lead to, without claiming the key.
+func (t *Table) Look(key Key, fingerprint Fingerprint) Outcome {
+	c, ok := t.claims[key]
 	switch {
+	case !ok:
+		return Granted{}
 	case c.fingerprint != fingerprint:
 		return Mismatch{}
 	case c.finished:
 		return Finished{c.request, c.answer}
-	case c.request == request:
-		return Granted{}
 	default:
 		return Running{c.request}
 	}
--- a/pkg/coordination/disseminator/codec.go
+++ b/pkg/coordination/disseminator/codec.go
@@ -35,6 +35,9 @@
 		}
 		if u.hasValue {
 			value := u.entry.value
+			if value == nil {
+				value = []byte{} // an absent value means that it has not changed
+			}
 			w.Value = &value
 		}
 		wire = append(wire, w)
--- a/pkg/coordination/disseminator/spreader.go
+++ b/pkg/coordination/disseminator/spreader.go
@@ -108,6 +108,9 @@
 	return nil
 }
 
+// Flush sends what is new at once.
+func (s *Spreader) Flush() { s.sendAll() }
+
 // Live returns the entries whose lease has not ended.
 func (s *Spreader) Live() []Entry {
 	s.mutex.Lock()
--- a/pkg/state/applier/applier.go
+++ b/pkg/state/applier/applier.go
@@ -62,11 +62,18 @@
 	intent      bookkeeper.Intent
 	key         claimer.Key
 	fingerprint claimer.Fingerprint
+	look        bool
+}
+
+// NewLook returns an opening that records and claims nothing. Its outcome says
+// whether the key is in use: Opened means that it is free.
+func NewLook(i bookkeeper.Intent, key claimer.Key, fingerprint claimer.Fingerprint) Opening {
+	return Opening{i, key, fingerprint, true}
 }
 
 // NewOpening returns an opening. The key is zero for a request without one.
 func NewOpening(i bookkeeper.Intent, key claimer.Key, fingerprint claimer.Fingerprint) Opening {
-	return Opening{i, key, fingerprint}
+	return Opening{i, key, fingerprint, false}
 }
 
 // Intent returns the intent to record.
@@ -375,6 +382,13 @@
 }
 
 func (s *State) open(o Opening) OpeningOutcome {
+	if o.look {
+		outcome := s.claims.Look(o.key, o.fingerprint)
+		if _, free := outcome.(claimer.Granted); free {
+			return Opened{}
+		}
+		return Claimed{outcome}
+	}
 	if !o.key.IsZero() {
 		outcome := s.claims.Claim(o.key, o.fingerprint, o.intent.Request(), s.now)
 		if _, ok := outcome.(claimer.Granted); !ok {
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -19,6 +19,7 @@
 	Organisation string
 	Key          string
 	Fingerprint  []byte
+	Look         bool
 }
 
 type wireClosing struct {
@@ -267,7 +268,7 @@
 		Retirements: b.retirements,
 	}
 	for _, o := range b.openings {
-		wire := wireOpening{Intent: bookkeeper.IntentToWire(o.intent)}
+		wire := wireOpening{Intent: bookkeeper.IntentToWire(o.intent), Look: o.look}
 		if !o.key.IsZero() {
 			wire.Organisation, wire.Key = o.key.Organisation(), o.key.Key()
 			wire.Fingerprint = o.fingerprint[:]
@@ -311,7 +312,7 @@
 		if err != nil {
 			return Batch{}, err
 		}
-		o := Opening{intent: intent}
+		o := Opening{intent: intent, look: wire.Look}
 		if wire.Key != "" {
 			if len(wire.Fingerprint) != len(o.fingerprint) {
 				return Batch{}, errors.New("malformed opening: fingerprint")
--- a/pkg/transport/linker/handshake.go
+++ b/pkg/transport/linker/handshake.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	nonceHeader      = "Radishshed-Nonce"
+	nonceHeader = "Radishshed-Nonce"
+	// vmHeader names the dialling VM, for logs of what stands between.
+	vmHeader         = "Radishshed-Vm"
 	proofHeader      = "Radishshed-Proof"
 	nonceBytes       = 16
 	handshakeTimeout = 3 * time.Second
@@ -92,6 +94,7 @@
 	nonce := newNonce()
 	header := http.Header{}
 	header.Set(nonceHeader, nonce)
+	header.Set(vmHeader, e.config.Identity.process.VM())
 	header.Set(proofHeader, hex.EncodeToString(e.proof("dial", nonce)))
 	// The library closes the body of the response.
 	socket, response, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{ //nolint:bodyclose // see above
