bookkeeper: help a starving router to its whole share; ask targets when news stalls

Then the cut side lost its targets, whose announcements went to routers on the other side. Ruled out: the cut itself; holdings in the account showed the distribution before it. Change: a lender returns the starving router's share; accounts show what each router holds; a router asks a target directly when its lease is about to end.

--- a/internal/commander/operators.go
+++ b/internal/commander/operators.go
@@ -210,6 +210,13 @@
 	}
 	line.print("\tsum of the lines\t\t\t\t\t\t\t%d\n", sum)
 	_ = table.Flush() // nothing can be done about a closed output
+	for _, h := range s.Holdings {
+		state := ""
+		if h.Retired {
+			state = ", ended: not yet proved unspent"
+		}
+		c.print("%s holds %d%s\n", h.Router, h.Unspent, state)
+	}
 	c.print("prepaid %d = charged %d + reserved %d + held by routers %d + free %d\n\n",
 		s.Prepaid, s.Charged, s.Reserved, s.Unspent, s.Free)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -225,6 +225,26 @@
 	return Record{known: true, finished: w.Finished, status: w.Status, usage: usage}, err
 }
 
+// Announcement asks a target directly for its announcement.
+func (f *Forwarder) Announcement(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/announcement", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	response, err := f.probes.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask for announcement")
+	}
+	defer func() { _ = response.Body.Close() }() // everything has been read
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("ask for announcement: status %d", response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxUsageBytes))
+	return data, errors.Wrap(err, "read announcement")
+}
+
 // Resume asks a target for the events of a stream from the given one on, on a
 // new connection.
 func (f *Forwarder) Resume(ctx context.Context, address, request string, from int) (*Answer, error) {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -15,6 +15,8 @@
 
 const (
 	maxEventBytes = 1 << 20
+	// streamBufferBytes holds the usual event. Longer ones are put together.
+	streamBufferBytes = 2 << 10
 	// streamSilence is the silence after which a stream is resumed on a new
 	// connection, since the old one may have gone silent for good.
 	streamSilence = 3 * time.Second
@@ -50,7 +52,7 @@
 func (f *Forwarder) NewStream(ctx context.Context, address, request string, a *Answer) *Stream {
 	return &Stream{
 		forwarder: f, ctx: ctx, address: address, request: request,
-		answer: a, reader: bufio.NewReaderSize(a.body, 16<<10),
+		answer: a, reader: bufio.NewReaderSize(a.body, streamBufferBytes),
 	}
 }
 
@@ -152,7 +154,7 @@
 	for range maxResumes {
 		answer, err := s.forwarder.Resume(s.ctx, s.address, s.request, s.next)
 		if err == nil {
-			s.answer, s.reader = answer, bufio.NewReaderSize(answer.body, 16<<10)
+			s.answer, s.reader = answer, bufio.NewReaderSize(answer.body, streamBufferBytes)
 			return nil
 		}
 		select {
--- a/internal/imitator/imitator.go
+++ b/internal/imitator/imitator.go
@@ -110,6 +110,7 @@
 	routes.Get("/usage/*", i.serveUsage)
 	routes.Get("/runs", i.orders.serveRuns)
 	routes.Get("/nonces/{nonce}", i.serveNonce)
+	routes.Get("/announcement", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.announcement()) })
 	routes.HandleFunc("/*", i.orders.serve)
 	i.handler = routes
 	return i
@@ -159,19 +160,24 @@
 	return nil
 }
 
-// announce tells the first router that answers.
-func (i *Imitator) announce(ctx context.Context) {
+// announcement returns what the target tells of itself, with a new sequence.
+func (i *Imitator) announcement() map[string]any {
 	state := "serving"
 	if i.leaving.Load() {
 		state = "leaving"
 	}
 	running, waiting := i.reportedLoad()
-	body, err := json.Marshal(map[string]any{
+	return map[string]any{
 		"name": i.config.Name, "address": i.config.Address, "dataCentre": i.config.DataCentre,
 		"incarnation": i.incarnation, "sequence": i.sequence.Add(1),
 		"services": i.config.Services, "capacity": i.config.Capacity, "state": state,
 		"load": map[string]int64{"running": running, "waiting": waiting},
-	})
+	}
+}
+
+// announce tells the first router that answers.
+func (i *Imitator) announce(ctx context.Context) {
+	body, err := json.Marshal(i.announcement())
 	if err != nil {
 		return // plain values always encode
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -105,14 +105,22 @@
 
 // Statement is the JSON form of the account of one budget.
 type Statement struct {
-	Account        string   `json:"account"`
-	Prepaid        int64    `json:"prepaidMicrocredits"`
-	Charged        int64    `json:"chargedMicrocredits"`
-	Reserved       int64    `json:"reservedMicrocredits"`
-	Unspent        int64    `json:"heldByRoutersMicrocredits"`
-	Free           int64    `json:"freeMicrocredits"`
-	BroughtForward int64    `json:"broughtForwardMicrocredits"`
-	Charges        []Charge `json:"charges"`
+	Account        string    `json:"account"`
+	Prepaid        int64     `json:"prepaidMicrocredits"`
+	Charged        int64     `json:"chargedMicrocredits"`
+	Reserved       int64     `json:"reservedMicrocredits"`
+	Unspent        int64     `json:"heldByRoutersMicrocredits"`
+	Free           int64     `json:"freeMicrocredits"`
+	BroughtForward int64     `json:"broughtForwardMicrocredits"`
+	Holdings       []Holding `json:"holdings"`
+	Charges        []Charge  `json:"charges"`
+}
+
+// Holding is the JSON form of what one router holds.
+type Holding struct {
+	Router  string `json:"router"`
+	Unspent int64  `json:"unspentMicrocredits"`
+	Retired bool   `json:"retired,omitempty"`
 }
 
 // Statements is the JSON form of all accounts of an organisation.
@@ -134,6 +142,9 @@
 			BroughtForward: int64(s.BroughtForward()),
 			Charges:        []Charge{},
 		}
+		for _, h := range s.Holdings() {
+			w.Holdings = append(w.Holdings, Holding{h.Router().String(), int64(h.Unspent()), h.Retired()})
+		}
 		for _, c := range s.Charges() {
 			w.Charges = append(w.Charges, chargeToJSON(c))
 		}
--- a/internal/proof/failure_test.go
+++ b/internal/proof/failure_test.go
@@ -40,7 +40,7 @@
 	var f *fleet
 	BeforeAll(func() {
 		f = newFleet(3, 3)
-		f.addTarget("engine-1", "assistant", "--token-time", "10ms")
+		f.addTarget("engine-1", "assistant", "--token-time", "10ms", "--capacity", "64")
 		f.addTarget("booking-1", "bookings", "--token-time", "1500ms")
 	})
 	AfterEach(func() {
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -59,11 +59,26 @@
 	prepaid   int64
 }
 
+// The ports of listeners lie below those that the system gives to outgoing
+// connections, so that none is taken between its choice and its use.
+const (
+	firstPort = 21_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort
+
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }() // only the port is wanted
-	return l.Addr().String()
+	for nextPort < lastPort {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close() // only the port is wanted
+			return address
+		}
+	}
+	Fail("no free port")
+	return ""
 }
 
 // newFleet starts control VMs and routers, one of each in every data centre in
--- a/internal/proof/gate_test.go
+++ b/internal/proof/gate_test.go
@@ -53,7 +53,7 @@
 }
 
 func newGate(vm, behind string, c *cuts) *gate {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", freeAddress())
 	Expect(err).NotTo(HaveOccurred())
 	g := &gate{vm, socket.Addr().String(), behind, c, socket}
 	go g.run()
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -218,11 +218,7 @@
 		operator.Fail(w, http.StatusBadRequest, "badAnnouncement", err.Error())
 		return
 	}
-	entry, err := announcement.Entry(time.Now())
-	if err == nil {
-		err = r.spreader.Put(entry)
-	}
-	if err != nil {
+	if err := r.takeAnnouncement(announcement); err != nil {
 		operator.Fail(w, http.StatusServiceUnavailable, "notTaken", err.Error())
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,6 +150,7 @@
 	running.Go(func() { r.spreader.Run(serving) })
 	running.Go(func() { r.runMembership(serving) })
 	running.Go(func() { r.runConfiguration(serving) })
+	running.Go(func() { r.runProbes(serving) })
 	r.log.Info("router started", zap.Stringer("process", r.process))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,205 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/committer"
+	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/archiver"
+)
+
+const (
+	testKey    = "secret"
+	testTicket = `{"number": 1,
+		"organisations": [{"name": "o", "keys": [{"hash": %q, "budget": "b"}], "budgets": [{"name": "b", "prepaidMicrocredits": 1000000000000000}]}],
+		"services": [{"name": "assistant", "kind": "model", "repeatable": true, "maxCompletionTokens": 100,
+			"price": {"perCallMicrocredits": 0, "perPromptTokenMicrocredits": 1, "perCompletionTokenMicrocredits": 1}}]}`
+)
+
+// instantControl is the state machine of control without a log and a network.
+type instantControl struct {
+	mutex sync.Mutex
+	state *applier.State
+}
+
+func (c *instantControl) CallControl(_ context.Context, _ string, _ uint8, body []byte) ([]byte, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	batch, err := applier.DecodeBatch(body)
+	if err != nil {
+		return nil, err
+	}
+	result, err := applier.EncodeBatchResult(c.state.Apply(batch, time.Now()).(applier.BatchResult))
+	if err != nil {
+		return nil, err
+	}
+	return messenger.EncodeAnswer(messenger.NewAnswer(result))
+}
+
+// instantTarget answers a stream of four events at once.
+func instantTarget(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a test
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, event := range []string{
+		`{"choices":[{"index":0,"delta":{"content":"one"}}]}`,
+		`{"choices":[{"index":0,"delta":{"content":" two"}}]}`,
+		`{"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":2}}`,
+		`[DONE]`,
+	} {
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", event) // a test
+	}
+}
+
+// newTestRouter returns a router with an instant control, and its address.
+func newTestRouter(tb testing.TB, target http.Handler) (*Router, string) {
+	tb.Helper()
+	folder := tb.TempDir()
+	settings := `{"vm": "router-1", "dataCentre": "a", "dataCentres": ["a"], "linkAddress": "127.0.0.1:1", "operatorAddress": "127.0.0.1:1",
+		"callerAddress": "127.0.0.1:1", "controlAddresses": ["127.0.0.1:1"], "fleetKeyFile": "key"}`
+	for name, text := range map[string]string{"key": "0123456789abcdef", "router.json": settings} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	loaded, err := configurer.Load(filepath.Join(folder, "router.json"), configurer.Router{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r, err := New(Config{Settings: loaded, Log: zap.NewNop()})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ticket, err := archiver.Decode(fmt.Appendf(nil, testTicket, archiver.FormatHash(archiver.HashKey(testKey))))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	control := &instantControl{state: applier.New(applier.Config{})}
+	control.state.Apply(applier.NewSubmitTicket(ticket), time.Now())
+	r.committer = committer.New(committer.Config{
+		Process: r.process, Caller: control, Allotter: r.allotter, Holder: r.held, Retired: r.retire, Log: r.log, Metrics: r.metrics,
+	})
+	r.adopt(archiver.Configuration{}.With(ticket))
+	r.confirmOnce.Do(func() { close(r.confirmed) })
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { r.committer.Run(ctx) })
+	engine := httptest.NewServer(target)
+	front := httptest.NewServer(r.callerRoutes())
+	tb.Cleanup(func() {
+		front.Close()
+		engine.Close()
+		cancel()
+		running.Wait()
+	})
+	announce(tb, r, strings.TrimPrefix(engine.URL, "http://"))
+	return r, front.URL
+}
+
+func announce(tb testing.TB, r *Router, address string) {
+	tb.Helper()
+	body, err := json.Marshal(map[string]any{
+		"name": "engine", "address": address, "dataCentre": "a", "incarnation": 1, "sequence": 1,
+		"services": []string{"assistant"}, "capacity": 1 << 20, "state": "serving",
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	announcement, err := selector.DecodeAnnouncement(body)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	entry, err := announcement.Entry(time.Now().Add(time.Hour))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := r.spreader.Put(entry); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+const chatBody = `{"model":"assistant","stream":true,"max_tokens":10,"messages":[{"role":"user","content":"hello"}]}`
+
+func post(url string) (string, error) {
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(chatBody))
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }() // everything has been read
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	return body.String(), err
+}
+
+// measure sends b.N requests from the given number of callers and reports the
+// quantiles of the time that they took.
+func measure(b *testing.B, url string, callers int) {
+	b.Helper()
+	histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mutex sync.Mutex
+	var running sync.WaitGroup
+	work := make(chan struct{})
+	for range callers {
+		running.Go(func() {
+			for range work {
+				start := time.Now()
+				body, err := post(url)
+				if err != nil || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+					b.Errorf("%v %s", err, body)
+				}
+				mutex.Lock()
+				_ = histogram.RecordValue(time.Since(start).Microseconds()) // in range
+				mutex.Unlock()
+			}
+		})
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		work <- struct{}{}
+	}
+	close(work)
+	running.Wait()
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99)), "p99-µs")
+}
+
+// BenchmarkStream compares streams through the router, with an instant control,
+// with streams straight from the target.
+func BenchmarkStream(b *testing.B) {
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 512
+	for _, callers := range []int{1, 32, 256} {
+		b.Run(fmt.Sprintf("direct/%d", callers), func(b *testing.B) {
+			engine := httptest.NewServer(http.HandlerFunc(instantTarget))
+			defer engine.Close()
+			measure(b, engine.URL, callers)
+		})
+		b.Run(fmt.Sprintf("router/%d", callers), func(b *testing.B) {
+			_, url := newTestRouter(b, http.HandlerFunc(instantTarget))
+			measure(b, url, callers)
+		})
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -22,6 +22,13 @@
 	ErrOverloaded = errors.New("all targets of this service are full")
 )
 
+const (
+	// A target is asked directly from staleBefore the end of its lease until
+	// staleAfter it.
+	staleBefore = LeaseDuration / 2
+	staleAfter  = time.Minute
+)
+
 // Target is a target that serves requests. It is safe for concurrent use.
 type Target struct {
 	name        string
@@ -201,6 +208,20 @@
 	return slices.Clone(s.registry.Load().byService[service])
 }
 
+// Stale returns the targets whose lease ends soon or has just ended, since news
+// of them has stalled. Asking them directly can renew it.
+func (s *Selector) Stale() []*Target {
+	now := s.now()
+	var stale []*Target
+	for _, t := range s.registry.Load().byName {
+		remaining := time.Duration(t.expiresAt.Load() - now.UnixNano())
+		if !t.leaving.Load() && remaining < staleBefore && remaining > -staleAfter {
+			stale = append(stale, t)
+		}
+	}
+	return stale
+}
+
 // pick takes the less loaded of two targets chosen at random (Mitzenmacher,
 // "The Power of Two Choices", 2001).
 func (s *Selector) pick(c Choice) (*Lease, error) {
--- a/pkg/state/bookkeeper/bookkeeper.go
+++ b/pkg/state/bookkeeper/bookkeeper.go
@@ -275,8 +275,26 @@
 // At returns when the request ended.
 func (c Charge) At() time.Time { return c.at }
 
+// Holding is what one router holds of a budget.
+type Holding struct {
+	router  identifier.Process
+	unspent pricer.Amount
+	retired bool
+}
+
+// Router returns the router process.
+func (h Holding) Router() identifier.Process { return h.router }
+
+// Unspent returns what the router can still reserve, in microcredits.
+func (h Holding) Unspent() pricer.Amount { return h.unspent }
+
+// Retired reports whether the router has ended and its grant stays set aside
+// until it is proved unspent.
+func (h Holding) Retired() bool { return h.retired }
+
 // Statement is the account of one budget. All amounts are microcredits.
 type Statement struct {
+	holdings       []Holding
 	account        string
 	prepaid        pricer.Amount
 	charged        pricer.Amount
@@ -307,5 +325,8 @@
 // BroughtForward returns the sum of the charges that are no longer listed.
 func (s Statement) BroughtForward() pricer.Amount { return s.broughtForward }
 
+// Holdings returns what each router holds.
+func (s Statement) Holdings() []Holding { return s.holdings }
+
 // Charges returns the listed charges, oldest first.
 func (s Statement) Charges() []Charge { return s.charges }
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -338,7 +338,7 @@
 // Starved reports whether a router wants more than the ledger has to give.
 func (l *Ledger) Starved(name string) bool {
 	a, ok := l.accounts[name]
-	return ok && (a.shortfall() > 0 || a.lowering && a.allocated > a.lowerTo)
+	return ok && (l.shortfall(a, l.totals(a)) > 0 || a.lowering && a.allocated > a.lowerTo)
 }
 
 // Intents returns the open intents of a process, in order.
@@ -375,7 +375,12 @@
 	if !ok {
 		return Statement{}, ErrUnknownAccount
 	}
+	var holdings []Holding
+	for _, process := range slices.SortedFunc(maps.Keys(a.holders), compareProcesses) {
+		holdings = append(holdings, Holding{process, a.holders[process].held(), !l.IsCurrent(process)})
+	}
 	return Statement{
+		holdings:       holdings,
 		account:        name,
 		prepaid:        a.prepaid,
 		charged:        a.charged,
--- a/pkg/state/bookkeeper/policy.go
+++ b/pkg/state/bookkeeper/policy.go
@@ -43,39 +43,48 @@
 	largestDecay = 256
 )
 
-// share returns what the holder should have, given all that is spendable.
-func (l *Ledger) share(a *account, h *holder) pricer.Amount {
-	spendable := a.free()
+// totals are sums over the current holders of an account.
+type totals struct {
+	spendable pricer.Amount
+	demand    pricer.Amount
+	holders   pricer.Amount
+}
+
+func (l *Ledger) totals(a *account) totals {
+	sum := totals{spendable: a.free()}
 	if a.lowering {
-		spendable = max(0, a.lowerTo-a.allocated)
+		sum.spendable = max(0, a.lowerTo-a.allocated)
 	}
-	var demand pricer.Amount
-	holders := pricer.Amount(0)
-	for process, other := range a.holders {
+	for process, h := range a.holders {
 		if !l.IsCurrent(process) {
 			continue
 		}
-		spendable += max(0, other.held())
-		demand += other.demand
-		holders++
+		sum.spendable += max(0, h.held())
+		sum.demand += h.demand
+		sum.holders++
 	}
-	if holders == 0 {
+	return sum
+}
+
+// share returns what the holder should have of all that is spendable.
+func (l *Ledger) share(a *account, h *holder, sum totals) pricer.Amount {
+	if sum.holders == 0 {
 		return 0
 	}
-	spendable = percent(spendable, keptSharePercent)
+	spendable := percent(sum.spendable, keptSharePercent)
 	// Parts that cover no request help nobody: the last of a budget is granted
 	// request by request.
-	if spendable/holders < a.largest {
+	if spendable/sum.holders < a.largest {
 		return 0
 	}
 	switch l.config.Policy.(type) {
 	case PerRequest:
 		return 0
 	case EqualShares:
-		return spendable / holders
+		return spendable / sum.holders
 	case DemandWeighted:
-		base := percent(demand, evenPercent)/holders + 1
-		return scale(spendable, h.demand+base, demand+base*holders)
+		base := percent(sum.demand, evenPercent)/sum.holders + 1
+		return scale(spendable, h.demand+base, sum.demand+base*sum.holders)
 	default:
 		panic(fmt.Sprintf("bookkeeper: unknown policy %T", l.config.Policy))
 	}
@@ -93,7 +102,7 @@
 	if want := h.want - h.held(); want > 0 && want <= free {
 		amount = want
 	}
-	share := l.share(a, h)
+	share := l.share(a, h, l.totals(a))
 	if h.held() < percent(share, lowPercent) {
 		amount = max(amount, min(share-h.held(), free-a.lackOfOthers(h)))
 	}
@@ -123,10 +132,11 @@
 	if _, ok := l.config.Policy.(PerRequest); ok {
 		return max(h.want, 0)
 	}
-	if short := a.shortfall(); short > 0 {
+	sum := l.totals(a)
+	if short := l.shortfall(a, sum); short > 0 {
 		return a.keepWhenShort(h, short)
 	}
-	return max(h.want, percent(l.share(a, h), highPercent))
+	return max(h.want, percent(l.share(a, h, sum), highPercent))
 }
 
 // keepWhenShort returns how much a holder may keep while others want more than
@@ -171,9 +181,17 @@
 	return a.holders[first]
 }
 
-// shortfall returns what routers want beyond what they hold and what is free.
-func (a *account) shortfall() pricer.Amount {
-	return max(0, a.lackOfOthers(nil)-a.free())
+// shortfall returns what starved routers lack beyond what is free. A router
+// that has to be helped is helped to its whole share, so that it does not starve
+// again at the next request.
+func (l *Ledger) shortfall(a *account, sum totals) pricer.Amount {
+	var short pricer.Amount
+	for _, h := range a.holders {
+		if h.starved() {
+			short += max(h.want, l.share(a, h, sum)) - max(0, h.held())
+		}
+	}
+	return max(0, short-a.free())
 }
 
 // prospect says whether the holder's want is covered or can come to be.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,9 +4,12 @@
 #
 #   scripts/fleet.sh demo    sends a few hundred requests and checks the accounts
 #   scripts/fleet.sh serve   leaves the fleet running until interrupted
+#   scripts/fleet.sh slopes N  starts N routers and prints what each process costs
+#                              for control, idle and at 2 requests a second a router
 set -euo pipefail
 
 mode=${1:-serve}
+router_count=${2:-3}
 root=$(cd "$(dirname "$0")/.." && pwd)
 folder=$(mktemp -d)
 program=$folder/radishshed
@@ -67,15 +70,27 @@
 small_hash=$(key small)
 
 centres=(a b c)
+router_numbers=()
+for i in $(seq 1 "$router_count"); do
+  router_numbers+=("$(printf %02d "$i")")
+done
 for i in 0 1 2; do
   settings control "0$((i + 1))" "${centres[$i]}"
-  settings router "0$((i + 1))" "${centres[$i]}"
+done
+# list PREFIX prints the addresses of all routers as a JSON list.
+list() {
+  local addresses
+  addresses=$(printf ', "127.0.0.1:'"$1"'%s"' "${router_numbers[@]}")
+  echo "[${addresses:2}]"
+}
+for i in "${router_numbers[@]}"; do
+  settings router "$i" "${centres[$(((10#$i - 1) % 3))]}"
 done
 
 cat >"$folder/fleet.json" <<JSON
 {
   "controlAddresses": ["127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"],
-  "routerAddresses": ["127.0.0.1:7401", "127.0.0.1:7402", "127.0.0.1:7403"],
+  "routerAddresses": $(list 74),
   "keyFile": "operator.key"
 }
 JSON
@@ -109,11 +124,15 @@
 }
 JSON
 
+requests=400 rate=100
+if [ "$mode" = slopes ]; then
+  requests=$((router_count * 40)) rate=$((router_count * 2))
+fi
 cat >"$folder/mix.json" <<JSON
 {
-  "routers": ["127.0.0.1:8101", "127.0.0.1:8102", "127.0.0.1:8103"],
+  "routers": $(list 81),
   "targets": ["127.0.0.1:9104", "127.0.0.1:9105"],
-  "requests": 400, "ratePerSecond": 100, "maxOpen": 100, "timeout": "60s", "seed": 1,
+  "requests": $requests, "ratePerSecond": $rate, "maxOpen": 100, "timeout": "60s", "seed": 1,
   "work": [
     {"name": "jar", "weight": 6, "organisation": "frascoteca", "key": "$(cat "$folder/shops.key")", "service": "assistant", "stream": true, "tokens": 60, "promptBytes": 600, "prefixes": 5},
     {"name": "label", "weight": 8, "organisation": "frascoteca", "key": "$(cat "$folder/shops.key")", "service": "assistant", "tokens": 8, "promptBytes": 100},
@@ -129,10 +148,13 @@
 "$program" control --init --settings "$folder/control-01.json"
 for i in 01 02 03; do
   start "control-$i" control --settings "$folder/control-$i.json"
+done
+routers=()
+for i in "${router_numbers[@]}"; do
   start "router-$i" router --settings "$folder/router-$i.json"
+  routers+=(--router "127.0.0.1:81$i")
 done
 
-routers=(--router 127.0.0.1:8101 --router 127.0.0.1:8102 --router 127.0.0.1:8103)
 for i in 1 2 3; do
   start "engine-$i" target --name "engine-$i" --address "127.0.0.1:910$i" --data-centre "${centres[$((i - 1))]}" \
     --key-file "$folder/target.key" --service assistant --capacity 16 "${routers[@]}"
@@ -146,16 +168,14 @@
 
 # ready waits until every router knows a target of each service.
 ready() {
-  local port deadline=$((SECONDS + 60))
-  for port in 7401 7402 7403; do
-    until [ "$("$program" status --json --fleet "$folder/fleet.json" 2>/dev/null | grep -c '"target/')" -ge 30 ]; do
-      if [ $SECONDS -ge $deadline ]; then
-        echo "the fleet did not become ready:" >&2
-        "$program" status --fleet "$folder/fleet.json" >&2 || true
-        return 1
-      fi
-      sleep 0.2
-    done
+  local deadline=$((SECONDS + 60)) wanted=$((5 * (3 + router_count)))
+  until [ "$("$program" status --json --fleet "$folder/fleet.json" 2>/dev/null | grep -c '"target/')" -ge $wanted ]; do
+    if [ $SECONDS -ge $deadline ]; then
+      echo "the fleet did not become ready:" >&2
+      "$program" status --fleet "$folder/fleet.json" >&2 || true
+      return 1
+    fi
+    sleep 0.2
   done
 }
 ready
@@ -165,6 +185,49 @@
   exit
 fi
 
+# sample ROLE PORT-PREFIX NUMBERS... prints the sums over the processes of a role:
+# bytes sent, processor time in ms, resident memory in kB.
+sample() {
+  local role=$1 prefix=$2 number pid bytes=0 ticks=0 memory=0
+  shift 2
+  for number in "$@"; do
+    pid=$(pgrep -f "^$program $role --settings $folder/$role-$number.json")
+    bytes=$((bytes + $(curl -s "http://127.0.0.1:$prefix$number/metrics" | awk '/linkBytesSent/ {print $2}')))
+    ticks=$((ticks + $(awk '{print $14 + $15}' "/proc/$pid/stat")))
+    memory=$((memory + $(awk '/VmRSS/ {print $2}' "/proc/$pid/status")))
+  done
+  echo "$bytes $((ticks * 1000 / $(getconf CLK_TCK))) $memory"
+}
+
+# measure TITLE SECONDS prints what each process costs on average meanwhile.
+measure() {
+  local title=$1 seconds=$2 before after role
+  for role in router control; do
+    if [ $role = router ]; then
+      args=(router 74 "${router_numbers[@]}")
+    else
+      args=(control 72 01 02 03)
+    fi
+    read -r -a before <<<"$(sample "${args[@]}")"
+    sleep "$seconds"
+    read -r -a after <<<"$(sample "${args[@]}")"
+    awk -v t="$title" -v r=$role -v n=$((${#args[@]} - 2)) -v s="$seconds" -v n_routers="$router_count" \
+      -v b=$((after[0] - before[0])) -v c=$((after[1] - before[1])) -v m="${after[2]}" \
+      'BEGIN {printf "%2d routers, %s: a %s sends %.0f bytes/s, uses %.2f%% of a core and %.0f MB\n", n_routers, t, r, b / n / s, c / n / s / 10, m / n / 1000}'
+  done
+}
+
+if [ "$mode" = slopes ]; then
+  sleep 5
+  measure idle 8
+  "$program" load --mix "$folder/mix.json" >"$folder/load.out" 2>&1 &
+  load=$!
+  sleep 2
+  measure "2 requests/s each" 8
+  wait $load
+  exit
+fi
+
 echo "callers: http://127.0.0.1:8101 8102 8103, keys in $folder/*.key"
 echo "operators: $program status --fleet $folder/fleet.json"
 echo "interrupt to stop"
