--- /dev/null
+++ b/pkg/coordination/allotter/example_test.go
@@ -0,0 +1,67 @@
+package allotter_test
+
+import (
+	"fmt"
+	"time"
+
+	"radishshed.example/radishshed/pkg/coordination/allotter"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/pricer"
+)
+
+// A ledger grants a part of a budget to a router, which reserves the most that a
+// request can cost, and settles what it did cost.
+func Example() {
+	ledger := bookkeeper.New(bookkeeper.Config{})
+	router := identifier.NewProcess("router-1", 1)
+	if err := ledger.SetPrepaid("shops/main", 1000); err != nil {
+		fmt.Println(err)
+		return
+	}
+	if err := ledger.Register(router); err != nil {
+		fmt.Println(err)
+		return
+	}
+
+	grants := allotter.New()
+	account := grants.Account("shops/main")
+	account.Want(100)
+	for _, draw := range grants.Urgent() {
+		grant, err := ledger.Draw(router, draw)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		grants.Apply([]bookkeeper.Grant{grant})
+	}
+	account.GiveUp(100)
+
+	const reserve, cost pricer.Amount = 100, 30
+	fmt.Println("reserved:", account.Reserve(reserve))
+	intent := bookkeeper.NewIntent(bookkeeper.IntentConfig{
+		Request: identifier.NewRequest(router, 1), Account: "shops/main", Service: "assistant", Reserve: reserve,
+	})
+	if err := ledger.Open(intent); err != nil {
+		fmt.Println(err)
+		return
+	}
+	// The request runs here.
+	account.Settle(reserve, cost)
+	settlement := bookkeeper.NewSettlement(bookkeeper.SettlementConfig{
+		Intent: intent, Amount: cost, Basis: bookkeeper.Measured{}, At: time.Unix(0, 0),
+	})
+	fmt.Println("settled:", ledger.Settle(settlement))
+	fmt.Println("settled again:", ledger.Settle(settlement))
+	statement, err := ledger.Statement("shops/main")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("charged:", statement.Charged())
+	// Output:
+	// reserved: true
+	// settled: <nil>
+	// settled again: request has already been settled
+	// charged: 30
+}
--- /dev/null
+++ b/pkg/coordination/replicator/example_test.go
@@ -0,0 +1,43 @@
+package replicator_test
+
+import (
+	"fmt"
+
+	"radishshed.example/radishshed/pkg/coordination/replicator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+// A log of one member: the driver ticks until the member leads, proposes a
+// command, and applies what is committed.
+func Example() {
+	self := identifier.NewProcess("control-1", 1)
+	replica, err := replicator.New(replicator.Config{
+		Self:      self,
+		Recovered: replicator.Recovered{Snapshot: replicator.Bootstrap(self)},
+		Random:    func(int) int { return 0 },
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for replica.Role() != replicator.Leader {
+		replica.Tick()
+	}
+	if _, _, err := replica.Propose([]byte("hello")); err != nil {
+		fmt.Println(err)
+		return
+	}
+	for range 2 {
+		output := replica.Take()
+		// A driver writes output.Vote() and output.Entries() to its disk here.
+		if entries := output.Entries(); len(entries) > 0 {
+			replica.Persisted(entries[len(entries)-1].Index())
+		}
+		for _, entry := range output.Committed() {
+			if entry.Kind() == replicator.Command {
+				fmt.Printf("%s\n", entry.Data())
+			}
+		}
+	}
+	// Output: hello
+}
