bookkeeper: keep running sums of an account; one copy of what stood several times

The reading pass found the wire form of a process four times, the replacing of a file twice, and a file of 537 lines.

--- /dev/null
+++ b/internal/committer/batch.go
@@ -0,0 +1,182 @@
+package committer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/applier"
+	"radishshed.example/radishshed/pkg/state/bookkeeper"
+)
+
+// batch is one batch on its way to control.
+type batch struct {
+	committer   *Committer
+	ctx         context.Context
+	leaderVM    string
+	closedBelow uint64
+	openings    []*opening
+	closings    []applier.Closing
+	draws       []bookkeeper.Draw
+	held        []bookkeeper.Intent
+	swept       []identifier.Process
+	register    bool
+	ended       bool
+	cutOff      []bookkeeper.Intent
+	retirements uint64
+	sentAt      time.Time
+}
+
+func (b *batch) isEmpty() bool {
+	return len(b.openings)+len(b.closings)+len(b.draws)+len(b.held)+len(b.swept)+len(b.cutOff) == 0 && !b.ended
+}
+
+func (b *batch) run() {
+	b.sentAt = time.Now()
+	result, err := b.send()
+	if err != nil {
+		b.committer.failed.Inc(1)
+		b.committer.config.Log.Debug("batch not committed", recorder.Err(err))
+		b.requeue()
+		return
+	}
+	b.committer.sent.Inc(1)
+	b.deliver(result)
+}
+
+func (b *batch) send() (applier.BatchResult, error) {
+	config := applier.BatchConfig{
+		Router:      b.committer.config.Process,
+		Register:    b.register,
+		ClosedBelow: b.closedBelow,
+		Closings:    b.closings,
+		Draws:       b.draws,
+		Held:        append(b.held[:len(b.held):len(b.held)], b.cutOff...),
+		Swept:       b.swept,
+		Complete:    true,
+		Ended:       b.ended,
+		Retirements: b.retirements,
+	}
+	for _, o := range b.openings {
+		config.Openings = append(config.Openings, o.opening)
+	}
+	encoded, err := applier.EncodeBatch(applier.NewBatch(config))
+	if err != nil {
+		return applier.BatchResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, callTimeout)
+	defer cancel()
+	data, err := b.committer.config.Caller.CallControl(ctx, b.leaderVM, messenger.Batch, encoded)
+	if err != nil {
+		b.committer.setLeader("")
+		return applier.BatchResult{}, err
+	}
+	answer, err := messenger.DecodeAnswer(data)
+	if err != nil {
+		return applier.BatchResult{}, err
+	}
+	if answer.Redirected() {
+		b.committer.setLeader(answer.LeaderVM())
+		return applier.BatchResult{}, errors.Errorf("redirected to %q", answer.LeaderVM())
+	}
+	result, err := applier.DecodeBatchResult(answer.Body())
+	if err == nil && result.Refusal() == "" && len(result.Openings()) != len(b.openings) {
+		err = errors.New("control answered another number of openings")
+	}
+	return result, err
+}
+
+func (c *Committer) setLeader(vm string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leaderVM = vm
+}
+
+// requeue puts everything back and wakes the loop after a moment. Draws are not
+// put back: newer ones take their place.
+func (b *batch) requeue() {
+	c := b.committer
+	c.mutex.Lock()
+	c.openings = append(b.openings, c.openings...)
+	c.closings = append(b.closings, c.closings...)
+	for _, process := range b.swept {
+		c.sweeps[process] = true
+	}
+	// A batch may fail after one that was sent later has been answered.
+	if c.failingSince.IsZero() && b.sentAt.After(c.lastContact) {
+		c.failingSince = b.sentAt
+	}
+	c.mutex.Unlock()
+	select {
+	case <-time.After(retryDelay):
+	case <-b.ctx.Done():
+	}
+	c.mutex.Lock()
+	c.inFlight--
+	c.mutex.Unlock()
+	for _, draw := range b.draws {
+		c.config.Allotter.Account(draw.Account()).Report()
+	}
+	c.Urge()
+}
+
+// dropKnown forgets the intents that control knows by now.
+func (c *Committer) dropKnown(known []bookkeeper.Intent) {
+	for _, intent := range known {
+		at := slices.IndexFunc(c.cutOff, func(i bookkeeper.Intent) bool { return i.Request() == intent.Request() })
+		if at >= 0 {
+			c.cutOff = slices.Delete(slices.Clone(c.cutOff), at, at+1)
+		}
+	}
+}
+
+func (b *batch) deliver(result applier.BatchResult) {
+	c := b.committer
+	if b.ended {
+		c.endOnce.Do(func() { close(c.ended) })
+	}
+	if result.Refusal() != "" && !b.ended {
+		c.config.Retired(result.Refusal())
+		for _, o := range b.openings {
+			o.outcome <- applier.NewRefused(result.Refusal())
+		}
+	}
+	for i, outcome := range result.Openings() {
+		b.openings[i].outcome <- outcome
+	}
+	c.config.Allotter.Apply(result.Grants())
+	for _, fence := range result.Fences() {
+		c.config.Holder.Fence(fence)
+	}
+	for _, intent := range b.held {
+		c.config.Holder.Release([]identifier.Request{intent.Request()})
+	}
+	c.mutex.Lock()
+	c.registered = true
+	c.dropKnown(b.cutOff)
+	c.retirements = max(c.retirements, result.Retirements())
+	c.failingSince = time.Time{}
+	if b.sentAt.After(c.lastContact) {
+		c.lastContact = b.sentAt
+	}
+	for _, closing := range b.closings {
+		c.forget(closing.Settlement().Intent().Request())
+	}
+	c.unacked -= len(b.closings)
+	if c.unacked == 0 {
+		close(c.flushed)
+		c.flushed = make(chan struct{})
+	}
+	if len(b.draws) > 0 {
+		close(c.drawn)
+		c.drawn = make(chan struct{})
+	}
+	c.inFlight--
+	c.mutex.Unlock()
+	c.urge()
+}
--- a/internal/controller/identity.go
+++ b/internal/controller/identity.go
@@ -78,29 +78,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode identity")
 	}
-	temporary := filepath.Join(folder, identityName+".new")
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrap(err, "create identity")
-	}
-	if _, err := file.Write(data); err != nil {
-		return errors.Wrap(err, "write identity")
-	}
-	if err := file.Sync(); err != nil {
-		return errors.Wrap(err, "sync identity")
-	}
-	if err := file.Close(); err != nil {
-		return errors.Wrap(err, "close identity")
-	}
-	if err := os.Rename(temporary, filepath.Join(folder, identityName)); err != nil {
-		return errors.Wrap(err, "rename identity")
-	}
-	dir, err := os.Open(folder)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	defer func() { _ = dir.Close() }() // read-only handle: nothing can be lost
-	return errors.Wrap(dir.Sync(), "sync folder")
+	return journaler.ReplaceFile(filepath.Join(folder, identityName), data)
 }
 
 // lock makes sure that one process at a time uses the folder.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -211,30 +211,14 @@
 	return intents, nil
 }
 
-type wireProcess struct {
-	_           struct{} `cbor:",toarray"`
-	VM          string
-	Incarnation uint64
-}
-
 // EncodeProcesses returns the CBOR form of a list of processes.
 func EncodeProcesses(processes []identifier.Process) ([]byte, error) {
-	wire := make([]wireProcess, 0, len(processes))
-	for _, p := range processes {
-		wire = append(wire, wireProcess{VM: p.VM(), Incarnation: p.Incarnation()})
-	}
-	return encoder.Marshal(wire)
+	return encoder.Marshal(encoder.ProcessesToWire(processes))
 }
 
 // DecodeProcesses is the inverse of EncodeProcesses.
 func DecodeProcesses(data []byte) ([]identifier.Process, error) {
-	var wire []wireProcess
-	if err := encoder.Unmarshal(data, &wire); err != nil {
-		return nil, err
-	}
-	processes := make([]identifier.Process, 0, len(wire))
-	for _, w := range wire {
-		processes = append(processes, identifier.NewProcess(w.VM, w.Incarnation))
-	}
-	return processes, nil
+	var wire []encoder.WireProcess
+	err := encoder.Unmarshal(data, &wire)
+	return encoder.ProcessesFromWire(wire), err
 }
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -222,12 +222,9 @@
 		operator.Fail(w, http.StatusServiceUnavailable, "notTaken", err.Error())
 		return
 	}
-	operator.Answer(w, map[string]any{"routers": r.callerAddresses()})
+	w.WriteHeader(http.StatusOK)
 }
 
-// callerAddresses returns where targets can announce themselves.
-func (r *Router) callerAddresses() []string { return []string{r.settings.CallerAddress()} }
-
 // event records one step of a request in the log and the time line.
 func (r *Router) event(name string, j *job, detail string) {
 	r.timeline.Record(recorder.EventConfig{
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// fetchConfiguration asks the control VMs, and if none of them can confirm and
-// this router has started already, the routers that have a newer one.
+// fetchConfiguration asks the control VMs for a configuration that a quorum has
+// confirmed. A router that is cut off keeps what it has.
 func (r *Router) fetchConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
--- a/pkg/coordination/replicator/codec.go
+++ b/pkg/coordination/replicator/codec.go
@@ -4,19 +4,12 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/pkg/protocol/encoder"
-	"radishshed.example/radishshed/pkg/protocol/identifier"
 )
 
-type wireProcess struct {
-	_           struct{} `cbor:",toarray"`
-	VM          string
-	Incarnation uint64
-}
-
 type wireMembership struct {
 	_        struct{} `cbor:",toarray"`
-	Voters   []wireProcess
-	Learners []wireProcess
+	Voters   []encoder.WireProcess
+	Learners []encoder.WireProcess
 }
 
 type wireEntry struct {
@@ -50,8 +43,8 @@
 type wireMessage struct {
 	_            struct{} `cbor:",toarray"`
 	Kind         messageKind
-	From         wireProcess
-	To           wireProcess
+	From         encoder.WireProcess
+	To           encoder.WireProcess
 	Term         uint64
 	Flag         bool
 	Forced       bool
@@ -67,14 +60,14 @@
 type wireRecord struct {
 	_        struct{} `cbor:",toarray"`
 	Term     uint64
-	VotedFor wireProcess
+	VotedFor encoder.WireProcess
 	Entry    *wireEntry
 }
 
 // EncodeMessage returns the CBOR form of a message.
 func EncodeMessage(message Message) ([]byte, error) {
 	h := message.head()
-	w := wireMessage{From: processToWire(h.from), To: processToWire(h.to), Term: h.term}
+	w := wireMessage{From: encoder.ProcessToWire(h.from), To: encoder.ProcessToWire(h.to), Term: h.term}
 	switch m := message.(type) {
 	case VoteRequest:
 		w.Kind, w.Flag, w.Forced, w.Index, w.IndexTerm = voteRequestKind, m.pre, m.forced, m.lastIndex, m.lastTerm
@@ -105,7 +98,7 @@
 	if err := encoder.Unmarshal(data, &w); err != nil {
 		return nil, err
 	}
-	h := header{processFromWire(w.From), processFromWire(w.To), w.Term}
+	h := header{encoder.ProcessFromWire(w.From), encoder.ProcessFromWire(w.To), w.Term}
 	switch w.Kind {
 	case voteRequestKind:
 		return VoteRequest{h, w.Flag, w.Forced, w.Index, w.IndexTerm}, nil
@@ -142,7 +135,7 @@
 
 // EncodeVote returns the journal record of a vote.
 func EncodeVote(v Vote) ([]byte, error) {
-	return encoder.Marshal(wireRecord{Term: v.term, VotedFor: processToWire(v.votedFor)})
+	return encoder.Marshal(wireRecord{Term: v.term, VotedFor: encoder.ProcessToWire(v.votedFor)})
 }
 
 // EncodeEntry returns the journal record of an entry.
@@ -170,7 +163,7 @@
 			return Recovered{}, errors.Wrapf(err, "record %d", i)
 		}
 		if w.Entry == nil {
-			recovered.Vote = Vote{w.Term, processFromWire(w.VotedFor)}
+			recovered.Vote = Vote{w.Term, encoder.ProcessFromWire(w.VotedFor)}
 			continue
 		}
 		recovered.Entries = append(recovered.Entries, entryFromWire(*w.Entry))
@@ -186,36 +179,12 @@
 	return membershipFromWire(w), err
 }
 
-func processToWire(p identifier.Process) wireProcess {
-	return wireProcess{VM: p.VM(), Incarnation: p.Incarnation()}
-}
-
-func processFromWire(w wireProcess) identifier.Process {
-	return identifier.NewProcess(w.VM, w.Incarnation)
-}
-
-func processesToWire(processes []identifier.Process) []wireProcess {
-	var wire []wireProcess
-	for _, p := range processes {
-		wire = append(wire, processToWire(p))
-	}
-	return wire
-}
-
-func processesFromWire(wire []wireProcess) []identifier.Process {
-	var processes []identifier.Process
-	for _, w := range wire {
-		processes = append(processes, processFromWire(w))
-	}
-	return processes
-}
-
 func membershipToWire(m Membership) wireMembership {
-	return wireMembership{Voters: processesToWire(m.voters), Learners: processesToWire(m.learners)}
+	return wireMembership{Voters: encoder.ProcessesToWire(m.voters), Learners: encoder.ProcessesToWire(m.learners)}
 }
 
 func membershipFromWire(w wireMembership) Membership {
-	return Membership{processesFromWire(w.Voters), processesFromWire(w.Learners)}
+	return Membership{encoder.ProcessesFromWire(w.Voters), encoder.ProcessesFromWire(w.Learners)}
 }
 
 func entryToWire(e Entry) wireEntry {
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -38,7 +38,7 @@
 	Closings    []wireClosing
 	Draws       []bookkeeper.WireDraw
 	Held        []bookkeeper.WireIntent
-	Swept       []wireProcess
+	Swept       []encoder.WireProcess
 	Complete    bool
 	Ended       bool
 	Retirements uint64
@@ -51,19 +51,13 @@
 	Cancel  bool
 }
 
-type wireProcess struct {
-	_           struct{} `cbor:",toarray"`
-	VM          string
-	Incarnation uint64
-}
-
 // wireCommand has exactly one of its last four fields.
 type wireCommand struct {
 	_        struct{} `cbor:",toarray"`
 	AtMillis int64
 	Ticket   []byte
 	Lowering *wireLowering
-	Retire   *wireProcess
+	Retire   *encoder.WireProcess
 	Batch    *wireBatch
 }
 
@@ -76,7 +70,7 @@
 type wireBatchResult struct {
 	_        struct{} `cbor:",toarray"`
 	Refusal  string
-	Fences   []wireProcess
+	Fences   []encoder.WireProcess
 	Openings []wireOpeningOutcome
 
 	Retirements uint64
@@ -103,7 +97,7 @@
 	case CancelLowering:
 		w.Lowering = &wireLowering{Account: c.account, Cancel: true}
 	case Retire:
-		process := processToWire(c.router)
+		process := encoder.ProcessToWire(c.router)
 		w.Retire = &process
 	case Batch:
 		batch := batchToWire(c)
@@ -130,7 +124,7 @@
 	case w.Lowering != nil:
 		return Lower{w.Lowering.Account, pricer.Amount(w.Lowering.Total)}, at, nil
 	case w.Retire != nil:
-		return Retire{identifier.NewProcess(w.Retire.VM, w.Retire.Incarnation)}, at, nil
+		return Retire{encoder.ProcessFromWire(*w.Retire)}, at, nil
 	case w.Batch != nil:
 		batch, err := batchFromWire(*w.Batch)
 		return batch, at, err
@@ -154,9 +148,7 @@
 // EncodeBatchResult returns the CBOR form of the answer to a batch.
 func EncodeBatchResult(r BatchResult) ([]byte, error) {
 	w := wireBatchResult{Refusal: r.refusal, Retirements: r.retirements}
-	for _, p := range r.fences {
-		w.Fences = append(w.Fences, processToWire(p))
-	}
+	w.Fences = encoder.ProcessesToWire(r.fences)
 	for _, opening := range r.openings {
 		switch o := opening.(type) {
 		case Opened:
@@ -183,9 +175,7 @@
 		return BatchResult{}, err
 	}
 	r := BatchResult{refusal: w.Refusal, retirements: w.Retirements}
-	for _, p := range w.Fences {
-		r.fences = append(r.fences, identifier.NewProcess(p.VM, p.Incarnation))
-	}
+	r.fences = encoder.ProcessesFromWire(w.Fences)
 	for _, wire := range w.Openings {
 		switch {
 		case wire.Claim != nil:
@@ -253,10 +243,6 @@
 	return s, err
 }
 
-func processToWire(p identifier.Process) wireProcess {
-	return wireProcess{VM: p.VM(), Incarnation: p.Incarnation()}
-}
-
 func batchToWire(b Batch) wireBatch {
 	w := wireBatch{
 		VM:          b.router.VM(),
@@ -289,9 +275,7 @@
 	for _, i := range b.held {
 		w.Held = append(w.Held, bookkeeper.IntentToWire(i))
 	}
-	for _, p := range b.swept {
-		w.Swept = append(w.Swept, processToWire(p))
-	}
+	w.Swept = encoder.ProcessesToWire(b.swept)
 	return w
 }
 
@@ -347,8 +331,6 @@
 		}
 		b.held = append(b.held, intent)
 	}
-	for _, wire := range w.Swept {
-		b.swept = append(b.swept, identifier.NewProcess(wire.VM, wire.Incarnation))
-	}
+	b.swept = encoder.ProcessesFromWire(w.Swept)
 	return b, nil
 }
--- a/pkg/state/bookkeeper/codec.go
+++ b/pkg/state/bookkeeper/codec.go
@@ -92,24 +92,18 @@
 	Retired     bool
 	ClosedBelow uint64
 	Closed      []uint64
-	Unswept     []wireProcess
+	Unswept     []encoder.WireProcess
 	LostSweeps  int
 	Seen        uint64
 }
 
-type wireProcess struct {
-	_           struct{} `cbor:",toarray"`
-	VM          string
-	Incarnation uint64
-}
-
 type wireLedger struct {
 	_         struct{} `cbor:",toarray"`
 	Accounts  []wireAccount
 	Routers   []wireRouter
 	Intents   []WireIntent
-	Current   []wireProcess
-	Forgotten []wireProcess
+	Current   []encoder.WireProcess
+	Forgotten []encoder.WireProcess
 
 	Retirements uint64
 }
@@ -264,7 +258,7 @@
 			Seen:        r.seenRetirements,
 		}
 		for other := range r.unswept {
-			wire.Unswept = append(wire.Unswept, wireProcess{VM: other.VM(), Incarnation: other.Incarnation()})
+			wire.Unswept = append(wire.Unswept, encoder.ProcessToWire(other))
 		}
 		for sequence := range r.closed {
 			wire.Closed = append(wire.Closed, sequence)
@@ -275,10 +269,10 @@
 		w.Intents = append(w.Intents, IntentToWire(i))
 	}
 	for _, process := range l.current {
-		w.Current = append(w.Current, wireProcess{VM: process.VM(), Incarnation: process.Incarnation()})
+		w.Current = append(w.Current, encoder.ProcessToWire(process))
 	}
 	for vm, incarnation := range l.forgotten {
-		w.Forgotten = append(w.Forgotten, wireProcess{VM: vm, Incarnation: incarnation})
+		w.Forgotten = append(w.Forgotten, encoder.ProcessToWire(identifier.NewProcess(vm, incarnation)))
 	}
 	return encoder.Marshal(w)
 }
@@ -309,7 +303,7 @@
 			seenRetirements: wire.Seen,
 		}
 		for _, other := range wire.Unswept {
-			r.unswept[identifier.NewProcess(other.VM, other.Incarnation)] = true
+			r.unswept[encoder.ProcessFromWire(other)] = true
 		}
 		for _, sequence := range wire.Closed {
 			r.closed[sequence] = true
@@ -318,7 +312,7 @@
 	}
 	l.retirements = w.Retirements
 	for _, wire := range w.Current {
-		l.current[wire.VM] = identifier.NewProcess(wire.VM, wire.Incarnation)
+		l.current[wire.VM] = encoder.ProcessFromWire(wire)
 	}
 	for _, wire := range w.Forgotten {
 		l.forgotten[wire.VM] = wire.Incarnation
@@ -335,6 +329,9 @@
 		r.open++
 		l.intents[i.request] = i
 	}
+	for _, a := range l.accounts {
+		a.sums = l.recount(a)
+	}
 	return l, nil
 }
 
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -63,6 +63,7 @@
 	lowering       bool
 	lowerTo        pricer.Amount
 	largest        pricer.Amount // the largest recent reservation
+	sums           sums
 	holders        map[identifier.Process]*holder
 	charges        []Charge
 	broughtForward pricer.Amount
@@ -254,7 +255,7 @@
 	r.open++
 	a.reserved += i.reserve
 	a.largest = max(i.reserve, a.largest-a.largest/largestDecay)
-	a.holderOf(i.request.Router()).reserved += i.reserve
+	l.holderOf(a, i.request.Router()).reserved += i.reserve
 	return nil
 }
 
@@ -268,7 +269,7 @@
 	process := intent.request.Router()
 	a, r := l.accounts[intent.account], l.routers[process]
 	amount := min(max(s.amount, 0), intent.reserve)
-	h := a.holderOf(process)
+	h := l.holderOf(a, process)
 	h.reserved -= intent.reserve
 	a.reserved -= intent.reserve
 	h.charged += amount
@@ -298,10 +299,10 @@
 	if !ok {
 		return Grant{}, ErrUnknownAccount
 	}
-	h := a.holderOf(process)
+	h := l.holderOf(a, process)
 	if d.sequence > h.sequence {
 		h.sequence = d.sequence
-		h.demand, h.want = max(d.demand, 0), max(d.want, 0)
+		a.setNeeds(h, max(d.demand, 0), max(d.want, 0))
 		h.sent, h.received = max(h.sent, d.sent), max(h.received, d.received)
 		l.giveBack(a, h, d.returned-h.returned)
 		l.grant(a, h)
@@ -391,11 +392,12 @@
 	}, nil
 }
 
-func (a *account) holderOf(process identifier.Process) *holder {
+func (l *Ledger) holderOf(a *account, process identifier.Process) *holder {
 	h, ok := a.holders[process]
 	if !ok {
 		h = &holder{}
 		a.holders[process] = h
+		a.sums.count(l.IsCurrent(process), 1)
 	}
 	return h
 }
--- a/pkg/state/bookkeeper/policy.go
+++ b/pkg/state/bookkeeper/policy.go
@@ -51,19 +51,25 @@
 }
 
 func (l *Ledger) totals(a *account) totals {
-	sum := totals{spendable: a.free()}
+	sum := totals{spendable: a.free(), demand: a.sums.demand, holders: pricer.Amount(a.sums.current)}
 	if a.lowering {
 		sum.spendable = max(0, a.lowerTo-a.allocated)
 	}
+	sum.spendable += a.allocated - a.charged - a.reserved
+	if a.sums.retired > 0 {
+		sum.spendable -= l.heldByRetired(a)
+	}
+	return sum
+}
+
+func (l *Ledger) heldByRetired(a *account) pricer.Amount {
+	var held pricer.Amount
 	for process, h := range a.holders {
 		if !l.IsCurrent(process) {
-			continue
+			held += h.held()
 		}
-		sum.spendable += max(0, h.held())
-		sum.demand += h.demand
-		sum.holders++
 	}
-	return sum
+	return held
 }
 
 // share returns what the holder should have of all that is spendable.
@@ -115,6 +121,9 @@
 
 // lackOfOthers returns what other holders want beyond what they hold.
 func (a *account) lackOfOthers(h *holder) pricer.Amount {
+	if a.sums.wanting == 0 {
+		return 0
+	}
 	var lack pricer.Amount
 	for _, other := range a.holders {
 		if other != h && other.starved() {
@@ -185,6 +194,9 @@
 // that has to be helped is helped to its whole share, so that it does not starve
 // again at the next request.
 func (l *Ledger) shortfall(a *account, sum totals) pricer.Amount {
+	if a.sums.wanting == 0 {
+		return 0
+	}
 	var short pricer.Amount
 	for _, h := range a.holders {
 		if h.starved() {
--- a/pkg/state/bookkeeper/retirement.go
+++ b/pkg/state/bookkeeper/retirement.go
@@ -59,7 +59,9 @@
 	}
 	for _, a := range l.accounts {
 		if h := a.holders[process]; h != nil {
-			h.want, h.demand = 0, 0
+			a.setNeeds(h, 0, 0)
+			a.sums.count(true, -1)
+			a.sums.count(false, 1)
 		}
 	}
 	// Whoever the process held intents for can get no answer from it any more.
@@ -139,7 +141,10 @@
 	}
 	delete(l.routers, process)
 	for _, a := range l.accounts {
-		delete(a.holders, process)
+		if _, ok := a.holders[process]; ok {
+			delete(a.holders, process)
+			a.sums.count(false, -1)
+		}
 	}
 	l.forgotten[process.VM()] = max(l.forgotten[process.VM()], process.Incarnation())
 	if l.current[process.VM()] == process {
--- a/pkg/state/journaler/journaler.go
+++ b/pkg/state/journaler/journaler.go
@@ -143,14 +143,20 @@
 	if err != nil {
 		return err
 	}
-	temporary := filepath.Join(j.folder, snapshotName+".new")
-	if err := writeSynced(temporary, buffer); err != nil {
+	return ReplaceFile(filepath.Join(j.folder, snapshotName), buffer)
+}
+
+// ReplaceFile puts a synced file into the place of another in one step: a crash
+// at any moment leaves either the old contents or the new.
+func ReplaceFile(path string, data []byte) error {
+	temporary := path + ".new"
+	if err := writeSynced(temporary, data); err != nil {
 		return err
 	}
-	if err := os.Rename(temporary, filepath.Join(j.folder, snapshotName)); err != nil {
-		return errors.Wrap(err, "replace snapshot")
+	if err := os.Rename(temporary, path); err != nil {
+		return errors.Wrap(err, "replace file")
 	}
-	return syncFolder(j.folder)
+	return syncFolder(filepath.Dir(path))
 }
 
 func journalPath(folder string, generation uint64) string {
