bookkeeper: keep a part of a budget for routers that have not drawn yet

Cause: the proof of a leaving target during a cut was refused at a router beside the quorum: 0 microcredits left, since only the routers behind the cut had drawn before and together held all 1,000,000,000. Ruled out: the cut itself; routers that had drawn before went on on both sides. Change: shares count all routers of the fleet; a share that covers no request is not granted (before, the average over holders decided). Also proved now: operators that race under a number, restart of a control VM within a second after 300 tickets, a leaving target on both sides of a cut, answers that are crossed or cut short.

--- a/internal/proof/cut_test.go
+++ b/internal/proof/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,6 +56,20 @@
 		Expect(f.runs("booking-1")[`{"nonce":"cutbooking"}`]).To(BeZero())
 	})
 
+	It("sends nothing new to a target that is leaving, on either side, after a few seconds", func() {
+		f.addTarget("engine-2", "assistant", "--capacity", "64")
+		f.signal("engine-2", syscall.SIGTERM)
+		time.Sleep(3 * time.Second) // the promise: nothing new after this
+		for i := range 20 {
+			router := []string{"router-1", "router-3"}[i%2]
+			nonce := fmt.Sprintf("leaving%d", i)
+			a := f.chat(router, nonce, 2)
+			Expect(isWholeStream(a, nonce)).To(BeTrue(), a.body)
+			served = append(served, a.request)
+			Expect(f.isRunning("engine-2", nonce)()).To(BeFalse(), router)
+		}
+	})
+
 	It("takes a top-up on the other side, and keeps what is in force here", func() {
 		f.prepaid += 1_000_000
 		before := f.status(f.processes["router-3"]).Ticket
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -104,6 +105,52 @@
 		Expect(lowered.Err()).To(MatchError(ContainSubstring("charged")))
 	})
 
+	It("accepts one of several tickets that race under a number", func() {
+		for range 5 {
+			f.ticket++
+			texts := [][]byte{}
+			for i := range 4 {
+				f.prepaid = 1_000_000_000 + int64(i)
+				texts = append(texts, f.ticketText(f.ticket))
+			}
+			statuses := make(chan int, len(texts))
+			for _, text := range texts {
+				go func() {
+					defer GinkgoRecover()
+					response, err := f.client.AskLeader(context.Background(), http.MethodPost, "/tickets", text)
+					Expect(err).NotTo(HaveOccurred())
+					statuses <- response.Status()
+				}()
+			}
+			accepted := 0
+			for range texts {
+				if <-statuses == http.StatusOK {
+					accepted++
+				}
+			}
+			Expect(accepted).To(Equal(1))
+		}
+		f.prepaid = 1_000_000_000
+		f.submitNext()
+	})
+
+	It("restarts within a second after hundreds of changes", func() {
+		for range 300 {
+			f.submitNext()
+		}
+		follower := "control-1"
+		if f.leader() == follower {
+			follower = "control-2"
+		}
+		f.kill(follower)
+		f.start(follower)
+		started := time.Now()
+		Eventually(func() int { return get("http://" + f.processes[follower].operator + "/live") }, patience, time.Millisecond).
+			Should(Equal(http.StatusOK))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		Eventually(func() uint64 { return f.status(f.processes[follower]).Ticket }, patience, pollEvery).Should(BeEquivalentTo(f.ticket))
+	})
+
 	It("loses nothing when everything is restarted", func() {
 		Eventually(func() int64 { return f.statement("frascoteca", "frascoteca/shops").Reserved }, patience, pollEvery).Should(BeZero())
 		before := f.billed("frascoteca", "frascoteca/shops")
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -203,3 +203,45 @@
 		})
 	}
 }
+
+// Guards: a caller gets the whole answer to its own request and nobody else's. A
+// broken answer never looks whole.
+func TestBrokenAnswersAreNotPassedOnAsWhole(t *testing.T) {
+	const event = `data: {"choices":[{"index":0,"delta":{"content":"one"}}]}` + "\n\n"
+	cases := []struct {
+		name   string
+		target http.HandlerFunc
+		want   string
+	}{
+		{"answer to another request", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "router-9@1/1")
+			_, _ = io.WriteString(w, event+"data: [DONE]\n\n") // a test
+		}, "targetFailed"},
+		{"stream without its end", func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				http.Error(w, "unknown stream", http.StatusNotFound)
+				return
+			}
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			_, _ = io.WriteString(w, event) // a test
+		}, "targetFailed"},
+		{"answer shorter than announced", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("Content-Length", "1000")
+			w.WriteHeader(http.StatusBadRequest)  // read whole, as an answer that is no stream
+			_, _ = io.WriteString(w, `{"error":`) // a test
+		}, "targetFailed"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, url := newTestRouter(t, c.target)
+			body, err := post(url)
+			if strings.Contains(body, "[DONE]") {
+				t.Fatalf("the answer looks whole: %q", body)
+			}
+			if !strings.Contains(body, c.want) || !strings.Contains(body, "mayHaveRun") {
+				t.Fatalf("%q, %v; want %s and mayHaveRun", body, err, c.want)
+			}
+		})
+	}
+}
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -397,7 +397,9 @@
 	if !ok {
 		h = &holder{}
 		a.holders[process] = h
-		a.sums.count(l.IsCurrent(process), 1)
+		if !l.IsCurrent(process) {
+			a.sums.retired++
+		}
 	}
 	return h
 }
--- a/pkg/state/bookkeeper/ledger_test.go
+++ b/pkg/state/bookkeeper/ledger_test.go
@@ -6,6 +6,7 @@
 
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
 func register(t *testing.T, l *bookkeeper.Ledger, vm string, incarnation uint64) identifier.Process {
@@ -74,3 +75,36 @@
 		t.Fatalf("%d are free after the operator's release, want 100", free())
 	}
 }
+
+// Guards: false refusals stay low. A router that draws for the first time finds
+// a part of the budget free, even if those that hold the rest are cut off.
+func TestRoutersThatHaveNotDrawnFindTheirPart(t *testing.T) {
+	l := bookkeeper.New(bookkeeper.Config{})
+	if err := l.SetPrepaid("o/b", 1_000_000); err != nil {
+		t.Fatal(err)
+	}
+	var processes []identifier.Process
+	for _, vm := range []string{"router-1", "router-2", "router-3", "router-4", "router-5"} {
+		processes = append(processes, register(t, l, vm, 1))
+	}
+	var returned [3]pricer.Amount
+	for sequence := range uint64(20) {
+		for i, process := range processes[:3] {
+			draw := bookkeeper.NewDraw(bookkeeper.DrawConfig{
+				Account: "o/b", Sequence: sequence + 1, Want: 200, Demand: 1000, Returned: returned[i],
+			})
+			grant, err := l.Draw(process, draw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			returned[i] = max(returned[i], grant.Granted()-grant.Keep())
+		}
+	}
+	grant, err := l.Draw(processes[3], bookkeeper.NewDraw(bookkeeper.DrawConfig{Account: "o/b", Sequence: 1, Want: 200}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if grant.Granted() < 10_000 {
+		t.Fatalf("a router that draws for the first time is granted %d of 1000000", grant.Granted())
+	}
+}
--- a/pkg/state/bookkeeper/policy.go
+++ b/pkg/state/bookkeeper/policy.go
@@ -43,15 +43,17 @@
 	largestDecay = 256
 )
 
-// totals are sums over the current holders of an account.
+// totals are what shares are computed from. All current routers count, also
+// those that have not drawn on the account yet: during a cut they could not get
+// their part from those that have.
 type totals struct {
 	spendable pricer.Amount
 	demand    pricer.Amount
-	holders   pricer.Amount
+	routers   pricer.Amount
 }
 
 func (l *Ledger) totals(a *account) totals {
-	sum := totals{spendable: a.free(), demand: a.sums.demand, holders: pricer.Amount(a.sums.current)}
+	sum := totals{spendable: a.free(), demand: a.sums.demand, routers: pricer.Amount(len(l.current))}
 	if a.lowering {
 		sum.spendable = max(0, a.lowerTo-a.allocated)
 	}
@@ -72,28 +74,29 @@
 	return held
 }
 
-// share returns what the holder should have of all that is spendable.
+// share returns what the holder should have of all that is spendable. A part
+// that covers no request helps nobody: then it is nothing, and the last of a
+// budget is granted request by request.
 func (l *Ledger) share(a *account, h *holder, sum totals) pricer.Amount {
-	if sum.holders == 0 {
+	if sum.routers == 0 {
 		return 0
 	}
 	spendable := percent(sum.spendable, keptSharePercent)
-	// Parts that cover no request help nobody: the last of a budget is granted
-	// request by request.
-	if spendable/sum.holders < a.largest {
-		return 0
-	}
+	var share pricer.Amount
 	switch l.config.Policy.(type) {
 	case PerRequest:
-		return 0
 	case EqualShares:
-		return spendable / sum.holders
+		share = spendable / sum.routers
 	case DemandWeighted:
-		base := percent(sum.demand, evenPercent)/sum.holders + 1
-		return scale(spendable, h.demand+base, sum.demand+base*sum.holders)
+		base := percent(sum.demand, evenPercent)/sum.routers + 1
+		share = scale(spendable, h.demand+base, sum.demand+base*sum.routers)
 	default:
 		panic(fmt.Sprintf("bookkeeper: unknown policy %T", l.config.Policy))
 	}
+	if share < a.largest {
+		return 0
+	}
+	return share
 }
 
 // grant gives the holder what it wants if that much is free, and tops it up to
--- a/pkg/state/bookkeeper/retirement.go
+++ b/pkg/state/bookkeeper/retirement.go
@@ -60,8 +60,7 @@
 	for _, a := range l.accounts {
 		if h := a.holders[process]; h != nil {
 			a.setNeeds(h, 0, 0)
-			a.sums.count(true, -1)
-			a.sums.count(false, 1)
+			a.sums.retired++
 		}
 	}
 	// Whoever the process held intents for can get no answer from it any more.
@@ -143,7 +142,7 @@
 	for _, a := range l.accounts {
 		if _, ok := a.holders[process]; ok {
 			delete(a.holders, process)
-			a.sums.count(false, -1)
+			a.sums.retired--
 		}
 	}
 	l.forgotten[process.VM()] = max(l.forgotten[process.VM()], process.Incarnation())
--- a/pkg/state/bookkeeper/sums.go
+++ b/pkg/state/bookkeeper/sums.go
@@ -7,18 +7,9 @@
 type sums struct {
 	demand  pricer.Amount // of all current holders
 	wanting int           // holders that want something
-	current int           // holders whose process is current
 	retired int           // holders whose process is retired
 }
 
-func (s *sums) count(current bool, by int) {
-	if current {
-		s.current += by
-		return
-	}
-	s.retired += by
-}
-
 // setNeeds sets what a holder spends a second and what it wants at once.
 func (a *account) setNeeds(h *holder, demand, want pricer.Amount) {
 	a.sums.demand += demand - h.demand
@@ -35,7 +26,9 @@
 func (l *Ledger) recount(a *account) sums {
 	var s sums
 	for process, h := range a.holders {
-		s.count(l.IsCurrent(process), 1)
+		if !l.IsCurrent(process) {
+			s.retired++
+		}
 		s.demand += h.demand
 		if h.want > 0 {
 			s.wanting++
