--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// newTestRouter returns a router with an instant control, and its address.
-func newTestRouter(tb testing.TB, target http.Handler) (*Router, string) {
+// newTestRouter starts a router with an instant control and returns its address.
+func newTestRouter(tb testing.TB, target http.Handler) string {
 	tb.Helper()
 	folder := tb.TempDir()
 	settings := `{"vm": "router-1", "dataCentre": "a", "dataCentres": ["a"], "linkAddress": "127.0.0.1:1", "operatorAddress": "127.0.0.1:1",
@@ -111,7 +111,7 @@
 		running.Wait()
 	})
 	announce(tb, r, strings.TrimPrefix(engine.URL, "http://"))
-	return r, front.URL
+	return front.URL
 }
 
 func announce(tb testing.TB, r *Router, address string) {
@@ -198,7 +198,7 @@
 			measure(b, engine.URL, callers)
 		})
 		b.Run(fmt.Sprintf("router/%d", callers), func(b *testing.B) {
-			_, url := newTestRouter(b, http.HandlerFunc(instantTarget))
+			url := newTestRouter(b, http.HandlerFunc(instantTarget))
 			measure(b, url, callers)
 		})
 	}
@@ -234,7 +234,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, url := newTestRouter(t, c.target)
+			url := newTestRouter(t, c.target)
 			body, err := post(url)
 			if strings.Contains(body, "[DONE]") {
 				t.Fatalf("the answer looks whole: %q", body)
