--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -74,6 +74,7 @@
 func addCommands(parser *flags.Parser, base command) error {
 	entries := []entry{
 		{"router", "run the router of an entry VM", "Serves callers and targets as the settings say, until SIGTERM; then drains: serves on until the balancer has noticed, finishes every request, bills it and returns its budget grants.", &routerCommand{command: base}},
+		{"gateway", "run a router with routes by host and path", "Passes requests on by the routes of a platform's configuration and draws on prepaid token budgets, until SIGTERM; then drains.", &gatewayCommand{command: base}},
 		{"control", "run a control VM", "Runs a member of the replicated log that holds tickets, accounts and claims. A VM with an empty data folder joins the others as a learner. --init makes the data folder that of the first member of a new fleet and exits; use it once, on one control VM.", &controlCommand{command: base}},
 		{"target", "run a stand-in target", "Runs a stand-in for a model engine or a plain service, for tests, demonstrations and measurements.", &targetCommand{command: base}},
 		{"check", "check settings or a ticket", "Reads a settings file or a ticket and reports the first mistake. Nothing is sent anywhere.", &checkCommand{command: base}},
--- a/internal/commander/daemons.go
+++ b/internal/commander/daemons.go
@@ -6,14 +6,17 @@
 	"strings"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/controller"
+	"radishshed.example/radishshed/internal/gateway"
 	"radishshed.example/radishshed/internal/imitator"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/router"
+	"radishshed.example/radishshed/platform"
 )
 
 type settingsOption struct {
@@ -48,10 +51,29 @@
 	return ended(log, r.Run(c.ctx))
 }
 
+type gatewayCommand struct {
+	command
+	settingsOption
+}
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	settings, log, err := c.load(configurer.Router{})
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(gateway.Config{Settings: settings, Protocol: platform.Protocol{}, Log: log})
+	if err != nil {
+		return err
+	}
+	return ended(log, g.Run(c.ctx))
+}
+
 type controlCommand struct {
 	command
 	settingsOption
-	Init bool `long:"init" description:"make the data folder that of the first member of a new fleet, and exit"`
+	Platform bool `long:"platform" description:"serve the calls of the platform beside those of operators"`
+	Init     bool `long:"init" description:"make the data folder that of the first member of a new fleet, and exit"`
 }
 
 // Execute implements flags.Commander.
@@ -63,7 +85,11 @@
 	if c.Init {
 		return controller.Init(settings.DataFolder(), settings.VM())
 	}
-	control, err := controller.New(controller.Config{Settings: settings, Log: log})
+	config := controller.Config{Settings: settings, Log: log}
+	if c.Platform {
+		config.Routes = func(routes chi.Router, control *controller.Controller) { platform.Mount(routes, control) }
+	}
+	control, err := controller.New(config)
 	if err != nil {
 		return err
 	}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -45,8 +46,49 @@
 	clientTLS        *tls.Config
 	logLevel         string
 	drainNotice      time.Duration
+	seeds            []string
+	readyAddress     string
+	openLinks        bool
+	firstStart       bool
+	memoryBytes      int64
+	retries          Retries
 }
 
+// Retries bounds how often the fleet sends requests again.
+type Retries struct {
+	ratio   float64
+	minimum int64
+	window  time.Duration
+}
+
+// Ratio returns the part of a service's requests that may be sent again.
+func (r Retries) Ratio() float64 { return r.ratio }
+
+// Minimum returns how many requests may be sent again beside that part.
+func (r Retries) Minimum() int64 { return r.minimum }
+
+// Window returns the span over which requests are counted.
+func (r Retries) Window() time.Duration { return r.window }
+
+// Seeds returns the hosts of the control VMs that found the fleet.
+func (s Settings) Seeds() []string { return s.seeds }
+
+// ReadyAddress returns where the platform asks whether a router is ready.
+func (s Settings) ReadyAddress() string { return s.readyAddress }
+
+// OpenLinks reports whether links carry no proof of a fleet key, since the
+// network admits nobody else.
+func (s Settings) OpenLinks() bool { return s.openLinks }
+
+// FirstStart reports whether the whole fleet starts for the first time.
+func (s Settings) FirstStart() bool { return s.firstStart }
+
+// MemoryBytes returns the memory that the process may use, or zero.
+func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
+
+// Retries returns how often the fleet may send requests again.
+func (s Settings) Retries() Retries { return s.retries }
+
 // VM returns the name of this VM.
 func (s Settings) VM() string { return s.vm }
 
@@ -100,6 +142,12 @@
 	AuthorityFile   string `json:"authorityFile" validate:"required"`
 }
 
+type jsonRetries struct {
+	Ratio   float64 `json:"ratio" validate:"gte=0,lte=1"`
+	Minimum int64   `json:"minimum" validate:"gte=0"`
+	Window  string  `json:"window" validate:"required"`
+}
+
 type jsonSettings struct {
 	VM                string   `json:"vm" validate:"required,hostname_rfc1123"`
 	DataCentre        string   `json:"dataCentre" validate:"required"`
@@ -108,13 +156,21 @@
 	AdvertisedAddress string   `json:"advertisedAddress,omitempty" validate:"omitempty,hostname_port"`
 	OperatorAddress   string   `json:"operatorAddress" validate:"required,hostname_port"`
 	CallerAddress     string   `json:"callerAddress,omitempty" validate:"omitempty,hostname_port"`
-	ControlAddresses  []string `json:"controlAddresses" validate:"required,unique,dive,hostname_port"`
-	DataFolder        string   `json:"dataFolder,omitempty"`
-	FleetKeyFile      string   `json:"fleetKeyFile" validate:"required"`
-	OperatorKeyHashes []string `json:"operatorKeyHashes,omitempty"`
-	TLS               *jsonTLS `json:"tls,omitempty"`
-	LogLevel          string   `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
-	DrainNotice       string   `json:"drainNotice,omitempty"`
+	ControlAddresses  []string `json:"controlAddresses,omitempty" validate:"required_without=Seeds,unique,dive,hostname_port"`
+	// Seeds are addresses of control VMs of which only the host counts: links
+	// are at the port of the own link address. For fleets that use one port.
+	Seeds             []string     `json:"seeds,omitempty" validate:"unique,dive,hostname_port"`
+	OpenLinks         bool         `json:"openLinks,omitempty"`
+	FirstStart        bool         `json:"firstStart,omitempty"`
+	ReadyAddress      string       `json:"readyAddress,omitempty" validate:"omitempty,hostname_port"`
+	MemoryMB          int64        `json:"memoryMegabytes,omitempty" validate:"gte=0"`
+	Retries           *jsonRetries `json:"retries,omitempty"`
+	DataFolder        string       `json:"dataFolder,omitempty"`
+	FleetKeyFile      string       `json:"fleetKeyFile,omitempty" validate:"required_without=OpenLinks,excluded_with=OpenLinks"`
+	OperatorKeyHashes []string     `json:"operatorKeyHashes,omitempty"`
+	TLS               *jsonTLS     `json:"tls,omitempty"`
+	LogLevel          string       `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	DrainNotice       string       `json:"drainNotice,omitempty"`
 }
 
 // mends says what to do about a failed rule of the validator.
@@ -124,6 +180,10 @@
 	"hostname_port":    `is not an address: use the form "10.0.0.1:7000"`,
 	"unique":           "names something twice: keep one",
 	"oneof":            "is not a level: use debug, info, warn or error",
+	"required_without": "is missing: set it, or what stands in for it",
+	"excluded_with":    "is set beside openLinks: keep one of them",
+	"gte":              "is too small: use zero or more",
+	"lte":              "is too large: use one at most",
 }
 
 // Role is the kind of process that the settings are for. It is sealed: Router
@@ -196,6 +256,9 @@
 		controlAddresses: w.ControlAddresses,
 		logLevel:         w.LogLevel,
 		drainNotice:      defaultDrainNotice,
+		readyAddress:     w.ReadyAddress,
+		firstStart:       w.FirstStart,
+		memoryBytes:      w.MemoryMB << 20,
 	}
 	if w.AdvertisedAddress != "" {
 		s.advertised = w.AdvertisedAddress
@@ -212,8 +275,11 @@
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
-	if s.fleetKey, err = readKey(resolve(folder, w.FleetKeyFile)); err != nil {
-		return s, errors.Wrap(err, "fleetKeyFile")
+	if err := s.checkLinks(w, folder); err != nil {
+		return s, err
+	}
+	if err := s.checkRetries(w.Retries); err != nil {
+		return s, errors.Wrap(err, "retries")
 	}
 	if s.operatorHashes, err = archiver.ParseHashes(w.OperatorKeyHashes); err != nil {
 		return s, errors.Wrap(err, "operatorKeyHashes")
@@ -226,6 +292,42 @@
 	return s, nil
 }
 
+// openLinkKey stands in for the fleet key where links are open. It is no secret.
+const openLinkKey = "links without a fleet key"
+
+func (s *Settings) checkLinks(w jsonSettings, folder string) error {
+	_, port, err := net.SplitHostPort(w.LinkAddress)
+	if err != nil {
+		return errors.Wrap(err, "linkAddress")
+	}
+	for _, seed := range w.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return errors.Wrap(err, "seeds")
+		}
+		s.seeds = append(s.seeds, host)
+		s.controlAddresses = append(s.controlAddresses, net.JoinHostPort(host, port))
+	}
+	if w.OpenLinks {
+		s.openLinks, s.fleetKey = true, []byte(openLinkKey)
+		return nil
+	}
+	s.fleetKey, err = readKey(resolve(folder, w.FleetKeyFile))
+	return errors.Wrap(err, "fleetKeyFile")
+}
+
+func (s *Settings) checkRetries(w *jsonRetries) error {
+	if w == nil {
+		return nil
+	}
+	window, err := time.ParseDuration(w.Window)
+	if err != nil || window <= 0 {
+		return errors.Errorf(`window: %q is not a duration: use the form "10s"`, w.Window)
+	}
+	s.retries = Retries{w.Ratio, w.Minimum, window}
+	return nil
+}
+
 func (s *Settings) checkRole(w jsonSettings, role Role, folder string) error {
 	switch role.(type) {
 	case Router:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,7 @@
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
 	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/journaler"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
@@ -37,6 +38,8 @@
 	Settings configurer.Settings
 	// Log receives events. Required.
 	Log *zap.Logger
+	// Routes, if set, adds the calls of a platform to those of operators.
+	Routes func(chi.Router, *Controller)
 }
 
 // Controller is the daemon of a control VM.
@@ -52,7 +55,10 @@
 	inputs      chan<- input
 	contacts    *contacts
 
+	routes        func(chi.Router, *Controller)
+	startedAt     uint64 // Unix time in nanoseconds
 	configuration atomic.Pointer[archiver.Configuration]
+	catalogue     atomic.Pointer[cataloguer.Record]
 	status        atomic.Pointer[status]
 	stopping      atomic.Bool
 }
@@ -63,6 +69,9 @@
 	if _, err := lock(folder); err != nil {
 		return nil, err
 	}
+	if err := found(config.Settings); err != nil {
+		return nil, err
+	}
 	member, err := loadIdentity(folder, config.Settings.VM())
 	if err != nil {
 		return nil, err
@@ -75,13 +84,20 @@
 		timeline: recorder.NewTimeline(config.Settings.VM()),
 		spreader: disseminator.NewSpreader(disseminator.SpreaderConfig{}),
 		contacts: newContacts(),
+
+		routes:    config.Routes,
+		startedAt: uint64(time.Now().UnixNano()),
 	}
 	c.status.Store(&status{})
 	c.configuration.Store(&archiver.Configuration{})
-	if err := c.openReplication(folder); err != nil {
+	c.catalogue.Store(&cataloguer.Record{})
+	if err := c.openEndpoint(); err != nil {
 		return nil, err
 	}
-	return c, c.openEndpoint()
+	if config.Settings.OpenLinks() {
+		c.log.Warn("links carry no proof of a fleet key: the network must admit nobody else")
+	}
+	return c, c.openReplication(folder)
 }
 
 func (c *Controller) openEndpoint() error {
@@ -136,6 +152,7 @@
 		appliedIndex: recovered.Snapshot.Index(),
 	}
 	c.publishConfiguration(state)
+	c.publishCatalogue(state.Catalogue())
 	c.log.Info("data folder opened",
 		zap.Stringer("member", c.member), zap.Int("records", len(contents.Records())))
 	return nil
@@ -154,7 +171,8 @@
 	running.Go(func() { stop(c.replication.run(serving)) })
 	running.Go(func() { c.spreader.Run(serving) })
 	running.Go(func() { c.runDuties(serving) })
-	c.endpoint.Keep(c.settings.ControlAddresses())
+	running.Go(func() { c.runDiscovery(serving) })
+	running.Go(func() { c.runMembership(serving) })
 	select {
 	case <-ctx.Done():
 		c.shutDown()
@@ -241,6 +259,9 @@
 	switch r := result.(type) {
 	case nil:
 		c.publishConfiguration(state)
+		c.publishCatalogue(state.Catalogue())
+	case applier.CatalogueResult:
+		c.publishCatalogue(state.Catalogue())
 	case applier.TicketResult:
 		if _, ok := r.Submission().(archiver.Accepted); ok {
 			c.announceTicket(state)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -20,6 +20,12 @@
 const (
 	dutyInterval   = time.Second
 	recallInterval = 20 * time.Millisecond
+	// membershipInterval is how often the membership of the log is looked after.
+	membershipInterval = 300 * time.Millisecond
+	// maxVoters lets two voters be lost at once.
+	maxVoters = 5
+	// voterSilence is longer than a restart of a VM takes.
+	voterSilence = 2500 * time.Millisecond
 	// orphanGrace is how long the last bytes of a router that has ended may
 	// still be on their way to a target.
 	orphanGrace = 5 * time.Second
@@ -42,20 +48,37 @@
 		}
 		c.notifyRouters(messenger.NewNumberNews(c.configuration.Load().Number()))
 		s := c.status.Load()
-		if !s.membership.Has(c.member) {
-			c.join(ctx)
-		}
 		if s.role != replicator.Leader {
 			c.contacts.reset()
 			continue
 		}
-		c.promote(ctx, *s)
 		c.retireSilent(ctx)
 		c.handOutSweeps(ctx)
 		c.handOutOrphans(ctx)
 	}
 }
 
+// runMembership keeps this VM a member of the log and, where it leads, the
+// members such that a quorum of them is alive.
+func (c *Controller) runMembership(ctx context.Context) {
+	ticker := time.NewTicker(membershipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s := c.status.Load()
+		if !s.membership.Has(c.member) || s.leader.IsZero() {
+			c.join(ctx)
+		}
+		if s.role == replicator.Leader {
+			c.promote(ctx, *s)
+		}
+	}
+}
+
 // join asks the leader, whoever it is, to take this member in.
 func (c *Controller) join(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, dutyInterval)
@@ -65,13 +88,18 @@
 			continue
 		}
 		if _, err := peer.Call(ctx, messenger.Join, nil); err != nil {
-			c.log.Info("join not yet possible", recorder.Err(err))
+			c.log.Debug("join not yet possible", recorder.Err(err))
 		}
 	}
 }
 
-// promote makes a learner that has caught up a voter.
+// promote makes a learner that has caught up a voter. If there are as many
+// voters as there should be, the learner takes the place of a silent one.
 func (c *Controller) promote(ctx context.Context, s status) {
+	if len(s.membership.Learners()) > 0 && len(s.membership.Voters()) >= maxVoters {
+		c.replaceSilent(ctx)
+		return
+	}
 	for _, learner := range s.membership.Learners() {
 		err := c.changeMembership(ctx, func(r *replicator.Replica) error {
 			return r.Promote(learner)
@@ -82,6 +110,21 @@
 	}
 }
 
+func (c *Controller) replaceSilent(ctx context.Context) {
+	var removed identifier.Process
+	err := c.changeMembership(ctx, func(r *replicator.Replica) error {
+		var err error
+		removed, err = r.ReplaceSilent(int(voterSilence / tickInterval))
+		return err
+	})
+	switch {
+	case err != nil:
+		c.log.Info("silent voter not yet removed", recorder.Err(err))
+	case !removed.IsZero():
+		c.log.Warn("silent voter removed, since a learner can take its place", zap.Stringer("member", removed))
+	}
+}
+
 // retireSilent retires routers that have been silent for longer than any budget
 // lets them spend without control.
 func (c *Controller) retireSilent(ctx context.Context) {
--- a/internal/controller/identity.go
+++ b/internal/controller/identity.go
@@ -5,11 +5,13 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/journaler"
@@ -31,11 +33,35 @@
 		return errors.Errorf("%s already holds a member's data: a fleet is initialised once, on one control VM", folder)
 	}
 	member := newMember(vm)
+	return initialise(folder, member, []identifier.Process{member})
+}
+
+// foundingIncarnation is that of the seeds of a new fleet, so that each of them
+// knows the other members before it has met them.
+const foundingIncarnation = 1
+
+// found makes an empty data folder that of a founding member if the whole fleet
+// starts for the first time and this VM is one of its seeds.
+func found(settings configurer.Settings) error {
+	folder := settings.DataFolder()
+	_, err := os.Stat(filepath.Join(folder, identityName))
+	if err == nil || !settings.FirstStart() || !slices.Contains(settings.Seeds(), settings.VM()) {
+		return nil
+	}
+	var founders []identifier.Process
+	for _, seed := range settings.Seeds() {
+		founders = append(founders, identifier.NewProcess(seed, foundingIncarnation))
+	}
+	return initialise(folder, identifier.NewProcess(settings.VM(), foundingIncarnation), founders)
+}
+
+// initialise makes the data folder that of a member of a new log.
+func initialise(folder string, self identifier.Process, founders []identifier.Process) error {
 	journal, _, err := journaler.Open(folder)
 	if err != nil {
 		return err
 	}
-	snapshot, err := replicator.EncodeSnapshot(replicator.Bootstrap(member))
+	snapshot, err := replicator.EncodeSnapshot(replicator.Bootstrap(founders...))
 	if err != nil {
 		return err
 	}
@@ -45,7 +71,7 @@
 	if err := journal.Close(); err != nil {
 		return err
 	}
-	return writeIdentity(folder, member)
+	return writeIdentity(folder, self)
 }
 
 // loadIdentity returns the member whose data the folder holds. An empty folder
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -23,6 +23,7 @@
 	c.spreader.Add(updatesLink{p})
 	if p.Identity().Role() == linker.Router {
 		c.notifyNumber(p)
+		c.notifyCatalogue(p)
 	}
 }
 
@@ -45,6 +46,10 @@
 		return c.handleBatch(ctx, body)
 	case messenger.ConfigurationRequest:
 		return c.handleConfigurationRequest(ctx)
+	case messenger.CatalogueRequest:
+		return messenger.EncodeCatalogue(*c.catalogue.Load())
+	case messenger.CatalogueSubmission, messenger.ConfirmedCatalogueRequest, messenger.SpendingReport:
+		return c.handleLeaderCall(ctx, from, kind, body)
 	case messenger.Join:
 		return c.handleJoin(ctx, from.Identity().Process())
 	default:
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -42,6 +42,9 @@
 		guarded.Get("/accounts/{organisation}", c.serveAccounts)
 		guarded.Get("/status", c.serveStatus)
 	})
+	if c.routes != nil {
+		c.routes(routes, c)
+	}
 	return routes
 }
 
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/state/escrower"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	gatewayPrefix = "gateway/"
+	controlPrefix = "control/"
+
+	membershipInterval = 500 * time.Millisecond
+	presenceInterval   = 5 * time.Second
+	presenceLease      = 20 * time.Second
+	// stallGrace is how long the leases of targets do not count after links to
+	// control have come back, until announcements have arrived again.
+	stallGrace = 3 * time.Second
+
+	maxQueuedFetches = 16
+	fetchTimeout     = 800 * time.Millisecond
+	reportTick       = 50 * time.Millisecond
+	reportTimeout    = 700 * time.Millisecond
+)
+
+// updatesLink lets the disseminator send over a peer's link.
+type updatesLink struct{ peer *linker.Peer }
+
+func (u updatesLink) SendUpdates(data []byte) error { return u.peer.Notify(messenger.Updates, data) }
+
+func (g *Gateway) connected(p *linker.Peer) { g.spreader.Add(updatesLink{p}) }
+
+func (g *Gateway) disconnected(p *linker.Peer) {
+	g.spreader.Remove(updatesLink{p})
+	if len(g.controlPeers()) == 0 {
+		g.log.Warn("no control VM can be reached")
+	}
+}
+
+// runMembership tells the fleet of this router and keeps links to control VMs.
+func (g *Gateway) runMembership(ctx context.Context) {
+	ticker := time.NewTicker(membershipInterval)
+	defer ticker.Stop()
+	var announcedAt time.Time
+	for {
+		if time.Since(announcedAt) >= presenceInterval {
+			g.announceSelf()
+			announcedAt = time.Now()
+		}
+		g.endpoint.Keep(g.controlAddresses())
+		if len(g.controlPeers()) == 0 {
+			g.stallEndsAt.Store(time.Now().Add(stallGrace).UnixNano())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Gateway) announceSelf() {
+	now := time.Now()
+	err := g.spreader.Put(disseminator.NewEntry(disseminator.EntryConfig{
+		Key:       gatewayPrefix + g.process.VM(),
+		Version:   disseminator.NewVersion(g.process.Incarnation(), uint64(now.UnixNano())),
+		Value:     []byte(g.settings.AdvertisedAddress()),
+		ExpiresAt: now.Add(presenceLease),
+	}))
+	if err != nil {
+		g.log.Warn("own address not spread", recorder.Err(err))
+	}
+}
+
+// controlAddresses returns the link addresses of all control VMs that are known,
+// and counts the routers.
+func (g *Gateway) controlAddresses() []string {
+	addresses := slices.Clone(g.settings.ControlAddresses())
+	routers := int64(0)
+	for _, e := range g.spreader.Live() {
+		switch {
+		case strings.HasPrefix(e.Key(), controlPrefix):
+			addresses = append(addresses, string(e.Value()))
+		case strings.HasPrefix(e.Key(), gatewayPrefix):
+			routers++
+		}
+	}
+	g.routerCount.Store(max(1, routers))
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+func (g *Gateway) controlPeers() []*linker.Peer {
+	var control []*linker.Peer
+	for _, p := range g.endpoint.Peers() {
+		if p.Identity().Role() == linker.Control {
+			control = append(control, p)
+		}
+	}
+	return control
+}
+
+// stalled reports whether news of targets does not arrive at present.
+func (g *Gateway) stalled(now time.Time) bool { return now.UnixNano() < g.stallEndsAt.Load() }
+
+// learn takes over what has been spread.
+func (g *Gateway) learn(entries []disseminator.Entry) {
+	for _, e := range entries {
+		if !selector.IsTarget(e) {
+			continue
+		}
+		a, err := selector.AnnouncementFrom(e)
+		if err != nil {
+			g.log.Warn("announcement not understood", zap.String("key", e.Key()), recorder.Err(err))
+			continue
+		}
+		fields := []zap.Field{zap.String("target", a.Name()), zap.String("address", a.Address()),
+			zap.Uint64("incarnation", a.Incarnation()), zap.Uint64("sequence", a.Sequence())}
+		switch g.placer.Learn(a, e.ExpiresAt()) {
+		case placer.Appeared:
+			g.log.Info("target appeared", fields...)
+		case placer.Left:
+			g.log.Info("target leaves", fields...)
+		}
+	}
+}
+
+// handle handles what peers send.
+func (g *Gateway) handle(_ context.Context, from *linker.Peer, kind uint8, body []byte) ([]byte, error) {
+	switch kind {
+	case messenger.Updates:
+		return nil, g.spreader.Receive(updatesLink{from}, body)
+	case messenger.CatalogueNews:
+		number, err := messenger.DecodeCatalogueNumber(body)
+		if err == nil && number > g.record.Load().Number() {
+			g.fetchFrom(from)
+		}
+		return nil, err
+	case messenger.CatalogueRequest:
+		return messenger.EncodeCatalogue(*g.record.Load())
+	case messenger.ConfigurationNews:
+		return nil, nil // tickets do not concern a gateway
+	default:
+		return nil, errors.Errorf("a gateway does not handle messages of kind %d", kind)
+	}
+}
+
+func (g *Gateway) fetchFrom(p *linker.Peer) {
+	select {
+	case g.fetches <- p:
+	default:
+		g.log.Warn("news of a catalogue dropped, since many fetches wait", zap.Stringer("peer", p.Identity().Process()))
+	}
+}
+
+// runFetches fetches catalogues that peers have told of.
+func (g *Gateway) runFetches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-g.fetches:
+			if err := g.fetch(ctx, p); err != nil {
+				g.log.Warn("catalogue not fetched", zap.Stringer("peer", p.Identity().Process()), recorder.Err(err))
+			}
+		}
+	}
+}
+
+func (g *Gateway) fetch(ctx context.Context, p *linker.Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := p.Call(ctx, messenger.CatalogueRequest, nil)
+	if err != nil {
+		return err
+	}
+	record, err := messenger.DecodeCatalogue(data)
+	if err != nil {
+		return err
+	}
+	return g.adopt(record)
+}
+
+// adopt puts a catalogue into force here unless one with a higher number is.
+func (g *Gateway) adopt(record cataloguer.Record) error {
+	g.adopting.Lock()
+	defer g.adopting.Unlock()
+	if record.Number() <= g.record.Load().Number() {
+		return nil
+	}
+	document, err := record.Document()
+	if err != nil {
+		return err
+	}
+	catalogue, err := g.protocol.DecodeCatalogue(document)
+	if err != nil {
+		return err
+	}
+	previous := g.record.Load().Number()
+	g.catalogue.Store(catalogue)
+	g.record.Store(&record)
+	g.spender.Raise()
+	g.log.Info("catalogue in force", zap.Uint64("number", record.Number()), zap.Uint64("previous", previous))
+	return nil
+}
+
+// runReports reports to control what has been spent.
+func (g *Gateway) runReports(ctx context.Context) {
+	ticker := time.NewTicker(reportTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.reportNow:
+		}
+		if !g.spender.Due(time.Now()) {
+			continue
+		}
+		if err := g.report(ctx, false); err != nil {
+			g.log.Debug("spending not reported", recorder.Err(err))
+		}
+	}
+}
+
+func (g *Gateway) urgeReport() {
+	select {
+	case g.reportNow <- struct{}{}:
+	default:
+	}
+}
+
+// report sends one report and takes the answer.
+func (g *Gateway) report(ctx context.Context, ended bool) error {
+	peers := g.controlPeers()
+	if len(peers) == 0 {
+		return errNoControl
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	data, err := escrower.EncodeReport(g.spender.Report(sentAt, ended))
+	if err != nil {
+		return err
+	}
+	data, err = g.leaderFirst(peers).Call(ctx, messenger.SpendingReport, data)
+	if err != nil {
+		g.leader.Store(nil)
+		return err
+	}
+	answer, err := messenger.DecodeAnswer(data)
+	if err != nil {
+		return err
+	}
+	if answer.Redirected() {
+		vm := answer.LeaderVM()
+		g.leader.Store(&vm)
+		return errors.Errorf("redirected to %q", vm)
+	}
+	grants, err := escrower.DecodeAnswer(answer.Body())
+	if err != nil {
+		return err
+	}
+	g.spender.Take(grants, sentAt)
+	return nil
+}
+
+// leaderFirst returns the peer that leads as far as is known, or any other, which
+// passes the report on.
+func (g *Gateway) leaderFirst(peers []*linker.Peer) *linker.Peer {
+	if vm := g.leader.Load(); vm != nil {
+		for _, p := range peers {
+			if p.Identity().Process().VM() == *vm {
+				return p
+			}
+		}
+	}
+	for _, p := range peers {
+		if p.Identity().DataCentre() == g.settings.DataCentre() {
+			return p
+		}
+	}
+	return peers[rand.IntN(len(peers))]
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,240 @@
+// Package gateway is the daemon of an entry VM that passes requests on by routes:
+// a host and a path prefix name the services, and the organisation's key names a
+// prepaid token budget.
+//
+// Start with request.go: it takes one request through all its steps.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/exchanger"
+	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/operator"
+	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/retrier"
+	"radishshed.example/radishshed/internal/spender"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	// idleTimeout is longer than any client keeps a connection for reuse.
+	idleTimeout = 75 * time.Second
+	// lastReportTimeout bounds the last report of a router that drains.
+	lastReportTimeout = time.Second
+	defaultWindow     = 10 * time.Second
+)
+
+// Config configures a gateway.
+type Config struct {
+	// Settings are the settings of the process. Required.
+	Settings configurer.Settings
+	// Protocol is how callers and targets speak. Required.
+	Protocol Protocol
+	// Log receives events. Required.
+	Log *zap.Logger
+}
+
+// Gateway is the daemon of an entry VM.
+type Gateway struct {
+	settings  configurer.Settings
+	protocol  Protocol
+	log       *zap.Logger
+	process   identifier.Process
+	startedAt time.Time
+	metrics   metrics.Registry
+	meters    meters
+	timeline  *recorder.Timeline
+	endpoint  *linker.Endpoint
+	spreader  *disseminator.Spreader
+	exchanger *exchanger.Exchanger
+	placer    *placer.Placer
+	spender   *spender.Spender
+	retrier   *retrier.Retrier
+
+	catalogue   atomic.Pointer[cataloguer.Catalogue]
+	record      atomic.Pointer[cataloguer.Record]
+	adopting    sync.Mutex
+	fetches     chan *linker.Peer
+	reportNow   chan struct{}
+	routerCount atomic.Int64
+	stallEndsAt atomic.Int64           // Unix time in nanoseconds
+	leader      atomic.Pointer[string] // VM that leads, if known
+	draining    atomic.Bool
+}
+
+// New returns a gateway that is not running yet.
+func New(c Config) (*Gateway, error) {
+	now := time.Now()
+	process := identifier.NewProcess(c.Settings.VM(), uint64(now.UnixMilli())<<10|rand.Uint64N(1<<10))
+	g := &Gateway{
+		settings:  c.Settings,
+		protocol:  c.Protocol,
+		log:       c.Log,
+		process:   process,
+		startedAt: now,
+		metrics:   metrics.NewRegistry(),
+		timeline:  recorder.NewTimeline(c.Settings.VM()),
+		placer:    placer.New(),
+		spender:   spender.New(spender.Config{Process: process, StartedAt: now}),
+		fetches:   make(chan *linker.Peer, maxQueuedFetches),
+		reportNow: make(chan struct{}, 1),
+	}
+	g.meters = newMeters(g.metrics)
+	g.record.Store(&cataloguer.Record{})
+	g.exchanger = exchanger.New(exchanger.Config{Opened: func() { g.meters.connections.Inc(1) }})
+	g.spreader = disseminator.NewSpreader(disseminator.SpreaderConfig{Changed: g.learn})
+	retries := c.Settings.Retries()
+	window := retries.Window()
+	if window == 0 {
+		window = defaultWindow
+	}
+	g.routerCount.Store(1)
+	g.retrier = retrier.New(retrier.Config{
+		Ratio: retries.Ratio(), Minimum: retries.Minimum(), Window: window,
+		Routers: func() int { return int(g.routerCount.Load()) },
+	})
+	var err error
+	g.endpoint, err = linker.New(linker.Config{
+		Identity:     linker.NewIdentity(process, c.Settings.DataCentre(), linker.Router, c.Settings.AdvertisedAddress()),
+		FleetKey:     c.Settings.FleetKey(),
+		Handle:       g.handle,
+		Connected:    g.connected,
+		Disconnected: g.disconnected,
+		TLS:          c.Settings.ClientTLS(),
+		Clock:        g.timeline,
+		Log:          c.Log,
+		Metrics:      g.metrics,
+	})
+	if c.Settings.OpenLinks() {
+		c.Log.Warn("links carry no proof of a fleet key: the network must admit nobody else")
+	}
+	return g, err
+}
+
+// Run serves until the context ends, then drains: it goes on serving until the
+// balancer has noticed, and ends once all requests are answered.
+func (g *Gateway) Run(ctx context.Context) error {
+	serving, stop := context.WithCancelCause(context.Background())
+	defer stop(nil)
+	listeners, public, err := g.listen(stop)
+	if err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	running.Go(func() { g.spreader.Run(serving) })
+	running.Go(func() { g.runMembership(serving) })
+	running.Go(func() { g.runFetches(serving) })
+	running.Go(func() { g.runReports(serving) })
+	running.Go(func() { g.runSweeps(serving) })
+	g.log.Info("gateway started", zap.Stringer("process", g.process))
+	select {
+	case <-ctx.Done():
+		g.drain(serving, public)
+	case <-serving.Done():
+	}
+	err = context.Cause(serving)
+	stop(nil)
+	for _, l := range append(listeners, public) {
+		l.Close()
+	}
+	g.endpoint.Close()
+	running.Wait()
+	return err
+}
+
+// drain ends the service without cutting a request off.
+func (g *Gateway) drain(ctx context.Context, public *listener.Listener) {
+	g.draining.Store(true)
+	g.log.Info("draining", zap.Int64("open", g.meters.open.Count()), zap.Duration("notice", g.settings.DrainNotice()))
+	select {
+	case <-time.After(g.settings.DrainNotice()):
+	case <-ctx.Done():
+		return
+	}
+	if err := public.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut off", recorder.Err(err))
+	}
+	ctx, cancel := context.WithTimeout(ctx, lastReportTimeout)
+	defer cancel()
+	if err := g.report(ctx, true); err != nil {
+		g.log.Warn("grants not returned", recorder.Err(err))
+	}
+	g.log.Info("drained")
+}
+
+func (g *Gateway) listen(failed func(error)) (private []*listener.Listener, public *listener.Listener, err error) {
+	links := chi.NewRouter()
+	links.Handle(linker.Path, g.endpoint)
+	operators := chi.NewRouter()
+	operator.Mount(operators, operator.Config{
+		Admits:   g.settings.Operators().AdmitsOperator,
+		Ready:    g.ready,
+		Metrics:  g.metrics,
+		Timeline: g.timeline,
+	})
+	handlers := map[string]http.Handler{
+		g.settings.LinkAddress():     links,
+		g.settings.OperatorAddress(): operators,
+	}
+	if address := g.settings.ReadyAddress(); address != "" {
+		handlers[address] = http.HandlerFunc(g.serveReady)
+	}
+	for address, handler := range handlers {
+		l, err := listener.Start(listener.Config{Address: address, TLS: g.settings.ServerTLS(), Handler: handler, Failed: failed})
+		if err != nil {
+			return nil, nil, err
+		}
+		private = append(private, l)
+	}
+	public, err = listener.Start(listener.Config{
+		Address: g.settings.CallerAddress(), TLS: g.settings.ServerTLS(),
+		Handler: http.HandlerFunc(g.serve), Failed: failed, IdleTimeout: idleTimeout,
+	})
+	return private, public, err
+}
+
+func (g *Gateway) ready() bool { return g.catalogue.Load() != nil && !g.draining.Load() }
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// runSweeps drops what is no longer used.
+func (g *Gateway) runSweeps(ctx context.Context) {
+	const sweepInterval = time.Second
+	const targetMemory = 30 * time.Second
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.exchanger.Sweep(now)
+			if !g.stalled(now) {
+				g.placer.Forget(now.Add(-targetMemory))
+			}
+		}
+	}
+}
+
+// errNoControl means that no control VM can be reached.
+var errNoControl = errors.New("no link to a control VM")
--- /dev/null
+++ b/internal/gateway/meters.go
@@ -0,0 +1,41 @@
+package gateway
+
+import "github.com/rcrowley/go-metrics"
+
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// meters are the counters and histograms of a gateway.
+type meters struct {
+	open        metrics.Counter
+	served      metrics.Counter
+	refused     metrics.Counter
+	failed      metrics.Counter
+	abandoned   metrics.Counter
+	retried     metrics.Counter
+	resumed     metrics.Counter
+	connections metrics.Counter
+	firstByte   metrics.Histogram // milliseconds
+	whole       metrics.Histogram // milliseconds
+}
+
+func newMeters(r metrics.Registry) meters {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	return meters{
+		open:        counter("requestsOpen"),
+		served:      counter("requestsServed"),
+		refused:     counter("requestsRefused"),
+		failed:      counter("requestsFailed"),
+		abandoned:   counter("requestsAbandoned"),
+		retried:     counter("requestsRetried"),
+		resumed:     counter("streamsResumed"),
+		connections: counter("targetConnections"),
+		firstByte:   histogram("firstByteMilliseconds"),
+		whole:       histogram("requestMilliseconds"),
+	}
+}
--- /dev/null
+++ b/internal/gateway/protocol.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
+)
+
+// Protocol is how callers and targets of a platform speak. It translates and
+// decides nothing.
+type Protocol interface {
+	// DecodeCatalogue compiles the document of a catalogue.
+	DecodeCatalogue(document []byte) (*cataloguer.Catalogue, error)
+	// ReadCall reads what a caller says of its request.
+	ReadCall(r *http.Request) Call
+	// DispatchHeader returns the headers of a request to a target. It must not
+	// change the caller's headers.
+	DispatchHeader(caller http.Header, d Dispatch) http.Header
+	// ReadReply reads what a target says of its answer.
+	ReadReply(status int, header http.Header) Reply
+	// ReplyHeader returns the headers of a target's answer for the caller.
+	ReplyHeader(target http.Header) http.Header
+}
+
+// CallConfig holds the parts of a call.
+type CallConfig struct {
+	// ID identifies the attempt of the caller.
+	ID string
+	// Secret is the key that the caller presents.
+	Secret string
+	// TimeLeft is for how long the caller waits, or zero if it does not say.
+	TimeLeft time.Duration
+	// Parts are the parts of the prompt, in order.
+	Parts []placer.Part
+	// PromptTokens and MaxOutputTokens are the size of a model request.
+	PromptTokens, MaxOutputTokens int64
+	// LastEventID names the last event that the caller has of a broken stream.
+	LastEventID string
+}
+
+// Call is what a caller says of its request.
+type Call struct{ config CallConfig }
+
+// NewCall returns a call.
+func NewCall(c CallConfig) Call { return Call{c} }
+
+// ID returns the identifier of the caller's attempt.
+func (c Call) ID() string { return c.config.ID }
+
+// MaxTokens returns the most tokens that the request can consume.
+func (c Call) MaxTokens() int64 { return c.config.PromptTokens + c.config.MaxOutputTokens }
+
+// DispatchConfig holds the parts of a dispatch.
+type DispatchConfig struct {
+	// ID identifies the attempt of the caller. Required.
+	ID string
+	// Organisation is the customer, or empty.
+	Organisation string
+	// Target is the name of the target. Required.
+	Target string
+	// TimeLeft is for how long the target may work. Required.
+	TimeLeft time.Duration
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+	// LastEventID, if set, asks for the events behind it.
+	LastEventID string
+}
+
+// Dispatch is what a router says of a request to a target.
+type Dispatch struct{ config DispatchConfig }
+
+// NewDispatch returns a dispatch.
+func NewDispatch(c DispatchConfig) Dispatch { return Dispatch{c} }
+
+// ID returns the identifier of the caller's attempt.
+func (d Dispatch) ID() string { return d.config.ID }
+
+// Organisation returns the customer, or "".
+func (d Dispatch) Organisation() string { return d.config.Organisation }
+
+// Target returns the name of the target.
+func (d Dispatch) Target() string { return d.config.Target }
+
+// TimeLeft returns for how long the target may work.
+func (d Dispatch) TimeLeft() time.Duration { return d.config.TimeLeft }
+
+// Priority returns the rank of the request; 0 is the most urgent.
+func (d Dispatch) Priority() int { return d.config.Priority }
+
+// LastEventID returns the event behind which the stream goes on, or "".
+func (d Dispatch) LastEventID() string { return d.config.LastEventID }
+
+// ReplyConfig holds the parts of a reply.
+type ReplyConfig struct {
+	// ID identifies the attempt that is answered.
+	ID string
+	// Signed reports whether the answer bears the target's signature.
+	Signed bool
+	// NotRun reports whether the target promises that the request has not run.
+	NotRun bool
+	// Load is how busy the target is, if it says so.
+	Load *placer.Load
+}
+
+// Reply is what a target says of its answer.
+type Reply struct{ config ReplyConfig }
+
+// NewReply returns a reply.
+func NewReply(c ReplyConfig) Reply { return Reply{c} }
+
+// ID returns the identifier of the attempt that is answered.
+func (r Reply) ID() string { return r.config.ID }
+
+// Signed reports whether the answer bears the target's signature.
+func (r Reply) Signed() bool { return r.config.Signed }
+
+// NotRun reports whether the target promises that the request has not run.
+func (r Reply) NotRun() bool { return r.config.NotRun }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -23,6 +23,8 @@
 	Handler http.Handler
 	// Failed is called if serving ends by itself. Required.
 	Failed func(error)
+	// IdleTimeout is how long a connection may stay idle. Default: no limit.
+	IdleTimeout time.Duration
 }
 
 // Listener is a listening server.
@@ -44,7 +46,7 @@
 	l := &Listener{
 		config: config,
 		socket: socket,
-		server: &http.Server{Handler: config.Handler, ReadHeaderTimeout: readHeaderTimeout},
+		server: &http.Server{Handler: config.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: config.IdleTimeout},
 	}
 	go l.run()
 	return l, nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -8,6 +8,7 @@
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
@@ -39,6 +40,20 @@
 	// Hold asks a router to hold intents while control cannot be reached. Call,
 	// answered by nothing or an error.
 	Hold
+	// CatalogueNews tells the number of the routing catalogue in force. Notice.
+	CatalogueNews
+	// CatalogueRequest asks for the routing catalogue that the peer knows. Call,
+	// answered by its record.
+	CatalogueRequest
+	// CatalogueSubmission asks control to put a catalogue into force. Call,
+	// answered by an Answer that holds the number in force.
+	CatalogueSubmission
+	// ConfirmedCatalogueRequest asks control for the catalogue that a quorum has
+	// confirmed to be the newest. Call, answered by an Answer with its record.
+	ConfirmedCatalogueRequest
+	// SpendingReport carries a router's report on token budgets. Call, answered
+	// by an Answer that holds the ledger's answer.
+	SpendingReport
 )
 
 // Answer is a control VM's answer to a call: either a result, or a hint at the
@@ -222,3 +237,32 @@
 	err := encoder.Unmarshal(data, &wire)
 	return encoder.ProcessesFromWire(wire), err
 }
+
+type wireCatalogueNumber struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+}
+
+// EncodeCatalogueNumber returns the CBOR form of a catalogue's number.
+func EncodeCatalogueNumber(number uint64) ([]byte, error) {
+	return encoder.Marshal(wireCatalogueNumber{Number: number})
+}
+
+// DecodeCatalogueNumber is the inverse of EncodeCatalogueNumber.
+func DecodeCatalogueNumber(data []byte) (uint64, error) {
+	var w wireCatalogueNumber
+	err := encoder.Unmarshal(data, &w)
+	return w.Number, err
+}
+
+// EncodeCatalogue returns the CBOR form of a catalogue's record.
+func EncodeCatalogue(r cataloguer.Record) ([]byte, error) {
+	return encoder.Marshal(cataloguer.RecordToWire(r))
+}
+
+// DecodeCatalogue is the inverse of EncodeCatalogue.
+func DecodeCatalogue(data []byte) (cataloguer.Record, error) {
+	var w cataloguer.WireRecord
+	err := encoder.Unmarshal(data, &w)
+	return cataloguer.RecordFromWire(w), err
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -226,6 +226,14 @@
 	Answer(w, answer)
 }
 
+func writeHistogram(w http.ResponseWriter, name string, h metrics.Histogram) {
+	snapshot := h.Snapshot()
+	_, _ = fmt.Fprintf(w, "radishshed_%s_count %d\n", name, snapshot.Count()) // the scraper's connection has ended
+	for _, quantile := range []float64{0.5, 0.95, 0.99} {
+		_, _ = fmt.Fprintf(w, "radishshed_%s{quantile=\"%g\"} %g\n", name, quantile, snapshot.Percentile(quantile)) // as above
+	}
+}
+
 // writeMetrics writes the metrics as text, one value a line, in the form that
 // the usual scrapers read.
 func writeMetrics(w http.ResponseWriter, registry metrics.Registry) {
@@ -236,6 +244,8 @@
 			_, _ = fmt.Fprintf(w, "radishshed_%s %d\n", name, m.Count()) // the scraper's connection has ended
 		case metrics.Gauge:
 			_, _ = fmt.Fprintf(w, "radishshed_%s %d\n", name, m.Value()) // as above
+		case metrics.Histogram:
+			writeHistogram(w, name, m)
 		}
 	})
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,10 +104,10 @@
 	defer s.mutex.Unlock()
 	next := s.registry.Load()
 	for _, e := range entries {
-		if !strings.HasPrefix(e.Key(), keyPrefix) {
+		if !IsTarget(e) {
 			continue
 		}
-		a, err := announcementFrom(e)
+		a, err := AnnouncementFrom(e)
 		if err != nil {
 			continue // refused by the router that took the announcement
 		}
--- a/internal/selector/target.go
+++ b/internal/selector/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,9 +68,70 @@
 // Waiting returns the number of requests that wait inside the target.
 func (l Load) Waiting() int64 { return l.waiting }
 
+// AnnouncementConfig holds the parts of an announcement.
+type AnnouncementConfig struct {
+	// Name identifies the target. Required.
+	Name string
+	// Address is where the target serves, as host and port. Required.
+	Address string
+	// DataCentre is where the target runs.
+	DataCentre string
+	// Incarnation and Sequence order the announcements. Required.
+	Incarnation, Sequence uint64
+	// Services are what the target serves. Required.
+	Services []string
+	// Capacity is how many requests run at the same time. Required.
+	Capacity int64
+	// State is what the target says of itself. Required.
+	State State
+}
+
+// NewAnnouncement checks the parts and returns the announcement.
+func NewAnnouncement(c AnnouncementConfig) (Announcement, error) {
+	a := Announcement{
+		name: c.Name, address: c.Address, dataCentre: c.DataCentre, incarnation: c.Incarnation,
+		sequence: c.Sequence, services: c.Services, capacity: c.Capacity, state: c.State,
+	}
+	return a, a.check()
+}
+
 // Name returns the target's name.
 func (a Announcement) Name() string { return a.name }
 
+// Address returns where the target serves, as host and port.
+func (a Announcement) Address() string { return a.address }
+
+// DataCentre returns where the target runs.
+func (a Announcement) DataCentre() string { return a.dataCentre }
+
+// Incarnation returns the run of the target.
+func (a Announcement) Incarnation() uint64 { return a.incarnation }
+
+// Sequence returns the place of the announcement among those of the run.
+func (a Announcement) Sequence() uint64 { return a.sequence }
+
+// Services returns what the target serves.
+func (a Announcement) Services() []string { return a.services }
+
+// Capacity returns how many requests run at the same time.
+func (a Announcement) Capacity() int64 { return a.capacity }
+
+// State returns what the target says of itself.
+func (a Announcement) State() State { return a.state }
+
+// departedOffset lifts the sequence of a departure above that of any
+// announcement of the same run that is still on its way.
+const departedOffset = 1 << 40
+
+// Departed returns the announcement that ends those of the run for good.
+func (a Announcement) Departed() Announcement {
+	a.state = Leaving{}
+	if a.sequence < departedOffset {
+		a.sequence += departedOffset
+	}
+	return a
+}
+
 type jsonAnnouncement struct {
 	Name        string   `json:"name"`
 	Address     string   `json:"address"`
@@ -111,23 +173,34 @@
 	default:
 		return a, errors.Errorf(`announcement: state %q is neither "serving" nor "leaving"`, w.State)
 	}
+	return a, a.check()
+}
+
+func (a Announcement) check() error {
 	switch {
-	case w.Name == "" || len(w.Name) > maxNameBytes:
-		return a, errors.New("announcement: name is missing or too long")
-	case w.Address == "":
-		return a, errors.New("announcement: address is missing")
-	case w.Incarnation == 0 || w.Sequence == 0:
-		return a, errors.New("announcement: incarnation and sequence must be one or more")
-	case len(w.Services) == 0 || len(w.Services) > maxServices:
-		return a, errors.Errorf("announcement: services must name 1 to %d services", maxServices)
-	case w.Capacity <= 0 || w.Load.Running < 0 || w.Load.Waiting < 0:
-		return a, errors.New("announcement: capacity must be positive and load must not be negative")
+	case a.name == "" || len(a.name) > maxNameBytes:
+		return errors.New("announcement: name is missing or too long")
+	case a.address == "":
+		return errors.New("announcement: address is missing")
+	case a.incarnation == 0 || a.sequence == 0:
+		return errors.New("announcement: incarnation and sequence must be one or more")
+	case len(a.services) == 0 || len(a.services) > maxServices:
+		return errors.Errorf("announcement: services must name 1 to %d services", maxServices)
+	case a.capacity <= 0 || a.load.running < 0 || a.load.waiting < 0:
+		return errors.New("announcement: capacity must be positive and load must not be negative")
 	}
-	return a, nil
+	return nil
 }
 
-// Entry returns the form in which the announcement is spread.
+// Entry returns the form in which the announcement is spread, with a lease of
+// LeaseDuration.
 func (a Announcement) Entry(now time.Time) (disseminator.Entry, error) {
+	return a.EntryUntil(now.Add(LeaseDuration))
+}
+
+// EntryUntil returns the form in which the announcement is spread, with a lease
+// that ends at the given time.
+func (a Announcement) EntryUntil(expiresAt time.Time) (disseminator.Entry, error) {
 	value, err := json.Marshal(jsonAnnouncement{
 		Name: a.name, Address: a.address, DataCentre: a.dataCentre,
 		Incarnation: a.incarnation, Sequence: 1, Services: a.services,
@@ -145,12 +218,18 @@
 		Version:   disseminator.NewVersion(a.incarnation, a.sequence),
 		Value:     value,
 		Load:      load,
-		ExpiresAt: now.Add(LeaseDuration),
+		ExpiresAt: expiresAt,
 	}), nil
 }
 
-// announcementFrom is the inverse of Announcement.Entry.
-func announcementFrom(e disseminator.Entry) (Announcement, error) {
+// TargetKey returns the key of the entries of the target.
+func TargetKey(name string) string { return keyPrefix + name }
+
+// IsTarget reports whether the entry is the announcement of a target.
+func IsTarget(e disseminator.Entry) bool { return strings.HasPrefix(e.Key(), keyPrefix) }
+
+// AnnouncementFrom is the inverse of Announcement.Entry.
+func AnnouncementFrom(e disseminator.Entry) (Announcement, error) {
 	a, err := DecodeAnnouncement(e.Value())
 	if err != nil {
 		return a, err
--- a/pkg/coordination/disseminator/spreader.go
+++ b/pkg/coordination/disseminator/spreader.go
@@ -111,6 +111,13 @@
 // Flush sends what is new at once.
 func (s *Spreader) Flush() { s.sendAll() }
 
+// Get returns the entry with the key if its lease has not ended.
+func (s *Spreader) Get(key string) (Entry, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Get(key, s.config.Now())
+}
+
 // Live returns the entries whose lease has not ended.
 func (s *Spreader) Live() []Entry {
 	s.mutex.Lock()
--- a/pkg/coordination/replicator/election.go
+++ b/pkg/coordination/replicator/election.go
@@ -29,6 +29,7 @@
 	}
 	for _, p := range r.progress {
 		p.snapshotWaitTicks = max(0, p.snapshotWaitTicks-1)
+		p.silentTicks++
 	}
 	r.heartbeatTicks++
 	if r.heartbeatTicks >= r.config.HeartbeatTicks {
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -13,6 +13,7 @@
 	match             uint64
 	next              uint64
 	heardSinceCheck   bool
+	silentTicks       int
 	readSequence      uint64
 	snapshotWaitTicks int
 }
@@ -85,9 +86,10 @@
 	return r, nil
 }
 
-// Bootstrap returns the durable state of the first member of a new log.
-func Bootstrap(self identifier.Process) Snapshot {
-	return Snapshot{index: 1, term: 1, membership: NewMembership([]identifier.Process{self}, nil)}
+// Bootstrap returns the durable state with which the founding members of a new
+// log begin. It must be the same at all of them.
+func Bootstrap(founders ...identifier.Process) Snapshot {
+	return Snapshot{index: 1, term: 1, membership: NewMembership(founders, nil)}
 }
 
 // Role returns what the member does at present.
@@ -225,6 +227,26 @@
 	return r.snapshot, r.vote, slices.Clone(r.entries)
 }
 
+// ReplaceSilent makes room for a learner that has caught up: it removes a voter
+// that has been silent for the given number of ticks. It reports whether it did.
+func (r *Replica) ReplaceSilent(ticks int) (removed identifier.Process, err error) {
+	if r.role != Leader {
+		return removed, ErrNotLeader
+	}
+	m := r.Membership()
+	if !slices.ContainsFunc(m.learners, r.CaughtUp) {
+		return removed, nil
+	}
+	for _, voter := range m.voters {
+		p := r.progress[voter]
+		if voter == r.config.Self || p == nil || p.silentTicks < ticks {
+			continue
+		}
+		return voter, r.ChangeMembership(NewMembership(without(m.voters, voter), m.learners))
+	}
+	return removed, nil
+}
+
 func votersChanged(a, b Membership) int {
 	changed := 0
 	for _, voter := range a.voters {
--- a/pkg/coordination/replicator/replication.go
+++ b/pkg/coordination/replicator/replication.go
@@ -169,6 +169,7 @@
 		return
 	}
 	p.heardSinceCheck = true
+	p.silentTicks = 0
 	p.readSequence = max(p.readSequence, m.readSequence)
 	if m.success {
 		p.snapshotWaitTicks = 0
--- a/pkg/state/applier/applier.go
+++ b/pkg/state/applier/applier.go
@@ -16,11 +16,13 @@
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/state/escrower"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
 // Command changes the state. It is sealed: SubmitTicket, Lower, CancelLowering,
-// Retire and Batch are its only variants.
+// Retire, Batch, SubmitCatalogue and ReportSpending are its only variants.
 type Command interface{ isCommand() }
 
 // SubmitTicket puts a ticket into force.
@@ -39,11 +41,13 @@
 // spend without control.
 type Retire struct{ router identifier.Process }
 
-func (SubmitTicket) isCommand()   {}
-func (Lower) isCommand()          {}
-func (CancelLowering) isCommand() {}
-func (Retire) isCommand()         {}
-func (Batch) isCommand()          {}
+func (SubmitTicket) isCommand()    {}
+func (Lower) isCommand()           {}
+func (CancelLowering) isCommand()  {}
+func (Retire) isCommand()          {}
+func (Batch) isCommand()           {}
+func (SubmitCatalogue) isCommand() {}
+func (ReportSpending) isCommand()  {}
 
 // NewSubmitTicket returns the command that puts the ticket into force.
 func NewSubmitTicket(t archiver.Ticket) SubmitTicket { return SubmitTicket{t} }
@@ -213,7 +217,7 @@
 func (r BatchResult) Grants() []bookkeeper.Grant { return r.grants }
 
 // Result is what applying a command led to. It is sealed: TicketResult,
-// BatchResult and Done are its only variants.
+// BatchResult, CatalogueResult, SpendingResult and Done are its only variants.
 type Result interface{ isResult() }
 
 // TicketResult is the outcome of SubmitTicket.
@@ -244,6 +248,9 @@
 	archive *archiver.Archive
 	ledger  *bookkeeper.Ledger
 	claims  *claimer.Table
+
+	catalogue cataloguer.Record
+	escrow    *escrower.Ledger
 }
 
 // New returns the state before any command.
@@ -253,6 +260,7 @@
 		archive: &archiver.Archive{},
 		ledger:  bookkeeper.New(config.Ledger),
 		claims:  claimer.New(config.Claims),
+		escrow:  escrower.New(),
 	}
 }
 
@@ -284,6 +292,11 @@
 		return Done{}
 	case Batch:
 		return s.applyBatch(c)
+	case SubmitCatalogue:
+		return s.submitCatalogue(c.record)
+	case ReportSpending:
+		answer, err := s.escrow.Apply(c.report, at)
+		return SpendingResult{answer, err}
 	default:
 		panic(fmt.Sprintf("applier: unknown command %T", command))
 	}
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -10,6 +10,8 @@
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/state/escrower"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
@@ -51,7 +53,7 @@
 	Cancel  bool
 }
 
-// wireCommand has exactly one of its last four fields.
+// wireCommand has exactly one of the fields behind AtMillis.
 type wireCommand struct {
 	_        struct{} `cbor:",toarray"`
 	AtMillis int64
@@ -59,6 +61,9 @@
 	Lowering *wireLowering
 	Retire   *encoder.WireProcess
 	Batch    *wireBatch
+
+	Catalogue *cataloguer.WireRecord
+	Spending  []byte
 }
 
 type wireOpeningOutcome struct {
@@ -84,6 +89,8 @@
 	Tickets   [][]byte
 	Ledger    []byte
 	Claims    []byte
+	Catalogue cataloguer.WireRecord
+	Escrow    []byte
 }
 
 // EncodeCommand returns the form of a command in the replicated log.
@@ -102,6 +109,15 @@
 	case Batch:
 		batch := batchToWire(c)
 		w.Batch = &batch
+	case SubmitCatalogue:
+		record := cataloguer.RecordToWire(c.record)
+		w.Catalogue = &record
+	case ReportSpending:
+		report, err := escrower.EncodeReport(c.report)
+		if err != nil {
+			return nil, err
+		}
+		w.Spending = report
 	default:
 		return nil, errors.Errorf("applier: unknown command %T", command)
 	}
@@ -128,6 +144,11 @@
 	case w.Batch != nil:
 		batch, err := batchFromWire(*w.Batch)
 		return batch, at, err
+	case w.Catalogue != nil:
+		return SubmitCatalogue{cataloguer.RecordFromWire(*w.Catalogue)}, at, nil
+	case w.Spending != nil:
+		report, err := escrower.DecodeReport(w.Spending)
+		return ReportSpending{report}, at, err
 	default:
 		return nil, time.Time{}, errors.New("applier: empty command")
 	}
@@ -202,7 +223,7 @@
 
 // Snapshot returns the CBOR form of the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	w := wireState{NowMillis: s.now.UnixMilli()}
+	w := wireState{NowMillis: s.now.UnixMilli(), Catalogue: cataloguer.RecordToWire(s.catalogue)}
 	for _, ticket := range s.archive.Tickets() {
 		w.Tickets = append(w.Tickets, archiver.Encode(ticket))
 	}
@@ -213,6 +234,9 @@
 	if w.Claims, err = s.claims.Snapshot(); err != nil {
 		return nil, err
 	}
+	if w.Escrow, err = s.escrow.Snapshot(); err != nil {
+		return nil, err
+	}
 	return encoder.Marshal(w)
 }
 
@@ -239,7 +263,11 @@
 	if s.ledger, err = bookkeeper.Restore(config.Ledger, w.Ledger); err != nil {
 		return nil, err
 	}
-	s.claims, err = claimer.Restore(config.Claims, w.Claims)
+	if s.claims, err = claimer.Restore(config.Claims, w.Claims); err != nil {
+		return nil, err
+	}
+	s.catalogue = cataloguer.RecordFromWire(w.Catalogue)
+	s.escrow, err = escrower.Restore(w.Escrow)
 	return s, err
 }
 
--- /dev/null
+++ b/pkg/state/escrower/codec.go
@@ -0,0 +1,188 @@
+package escrower
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"radishshed.example/radishshed/pkg/protocol/encoder"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+type wireLine struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Spent        int64
+	Returned     int64
+	Ceiling      int64
+	Want         int64
+	Demand       int64
+}
+
+type wireReport struct {
+	_         struct{} `cbor:",toarray"`
+	Router    encoder.WireProcess
+	Sequence  uint64
+	StartedAt int64 // Unix time in milliseconds
+	SentAt    int64 // as above
+	Ended     bool
+	Lines     []wireLine
+}
+
+type wireGrant struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Granted      int64
+	Ceiling      int64
+	Keep         int64
+	Remaining    int64
+}
+
+type wireAnswer struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Grants   []wireGrant
+}
+
+// EncodeReport returns the CBOR form of a report.
+func EncodeReport(r Report) ([]byte, error) {
+	c := r.config
+	w := wireReport{
+		Router: encoder.ProcessToWire(c.Router), Sequence: c.Sequence,
+		StartedAt: c.StartedAt.UnixMilli(), SentAt: c.SentAt.UnixMilli(), Ended: c.Ended,
+	}
+	for _, line := range c.Lines {
+		l := line.config
+		w.Lines = append(w.Lines, wireLine{
+			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Want: l.Want, Demand: l.Demand,
+		})
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeReport is the inverse of EncodeReport.
+func DecodeReport(data []byte) (Report, error) {
+	var w wireReport
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return Report{}, err
+	}
+	c := ReportConfig{
+		Router: encoder.ProcessFromWire(w.Router), Sequence: w.Sequence,
+		StartedAt: time.UnixMilli(w.StartedAt), SentAt: time.UnixMilli(w.SentAt), Ended: w.Ended,
+	}
+	for _, l := range w.Lines {
+		c.Lines = append(c.Lines, NewLine(LineConfig{
+			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Want: l.Want, Demand: l.Demand,
+		}))
+	}
+	return NewReport(c), nil
+}
+
+// EncodeAnswer returns the CBOR form of an answer.
+func EncodeAnswer(a Answer) ([]byte, error) {
+	w := wireAnswer{Sequence: a.sequence}
+	for _, g := range a.grants {
+		w.Grants = append(w.Grants, wireGrant{
+			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Keep: g.keep, Remaining: g.remaining,
+		})
+	}
+	return encoder.Marshal(w)
+}
+
+// DecodeAnswer is the inverse of EncodeAnswer.
+func DecodeAnswer(data []byte) (Answer, error) {
+	var w wireAnswer
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return Answer{}, err
+	}
+	a := Answer{sequence: w.Sequence}
+	for _, g := range w.Grants {
+		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Keep, g.Remaining})
+	}
+	return a, nil
+}
+
+type wireHolder struct {
+	_        struct{} `cbor:",toarray"`
+	Process  encoder.WireProcess
+	Granted  int64
+	Returned int64
+	Spent    int64
+	Ceiling  int64
+	Want     int64
+	Demand   int64
+}
+
+type wireAccount struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Prepaid      int64
+	Ended        int64
+	WrittenOff   int64
+	Holders      []wireHolder
+}
+
+type wireRouter struct {
+	_          struct{} `cbor:",toarray"`
+	Process    encoder.WireProcess
+	Sequence   uint64
+	LastAt     int64 // Unix time in milliseconds
+	LastSentAt int64 // as above
+}
+
+type wireLedger struct {
+	_        struct{} `cbor:",toarray"`
+	Accounts []wireAccount
+	Routers  []wireRouter
+}
+
+// Snapshot returns the CBOR form of the ledger.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	var w wireLedger
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
+		wa := wireAccount{Organisation: name, Prepaid: a.prepaid, Ended: a.ended, WrittenOff: a.writtenOff}
+		for _, process := range slices.SortedFunc(maps.Keys(a.holders), compareProcesses) {
+			h := a.holders[process]
+			wa.Holders = append(wa.Holders, wireHolder{
+				Process: encoder.ProcessToWire(process), Granted: h.granted, Returned: h.returned,
+				Spent: h.spent, Ceiling: h.ceiling, Want: h.want, Demand: h.demand,
+			})
+		}
+		w.Accounts = append(w.Accounts, wa)
+	}
+	for _, vm := range slices.Sorted(maps.Keys(l.routers)) {
+		r := l.routers[vm]
+		w.Routers = append(w.Routers, wireRouter{
+			Process: encoder.ProcessToWire(r.process), Sequence: r.sequence,
+			LastAt: r.lastAt.UnixMilli(), LastSentAt: r.lastSentAt.UnixMilli(),
+		})
+	}
+	return encoder.Marshal(w)
+}
+
+// Restore returns the ledger that a snapshot holds. No data is an empty ledger.
+func Restore(data []byte) (*Ledger, error) {
+	l := New()
+	if len(data) == 0 {
+		return l, nil
+	}
+	var w wireLedger
+	if err := encoder.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	for _, wa := range w.Accounts {
+		a := &account{
+			prepaid: wa.Prepaid, ended: wa.Ended, writtenOff: wa.WrittenOff, holders: map[identifier.Process]*holder{},
+		}
+		for _, h := range wa.Holders {
+			a.holders[encoder.ProcessFromWire(h.Process)] = &holder{h.Granted, h.Returned, h.Spent, h.Ceiling, h.Want, h.Demand}
+		}
+		l.accounts[wa.Organisation] = a
+	}
+	for _, r := range w.Routers {
+		process := encoder.ProcessFromWire(r.Process)
+		l.routers[process.VM()] = &router{process, r.Sequence, time.UnixMilli(r.LastAt), time.UnixMilli(r.LastSentAt)}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/pkg/state/escrower/escrower.go
@@ -0,0 +1,432 @@
+// Package escrower is the ledger of prepaid token totals.
+//
+// Routers spend from grants that the ledger has set aside for them, and report
+// totals a few times a second. For each organisation
+//
+//	settled + sum over routers of (granted - returned) <= prepaid
+//
+// holds whenever the prepaid total has not been lowered, so that nobody spends
+// what the ledger has not set aside (escrow; O'Neil, "The Escrow Transactional
+// Method", 1986).
+//
+// Beside its grant a router has a ceiling: the total that it has announced and
+// the ledger has recorded. It goes beyond the ceiling, up to its grant, only
+// once it has been without an answer of control for DetachAfter. So the ledger
+// charges a router that died soon after a report with its ceiling, and any other
+// with its whole grant.
+//
+// A Ledger is a deterministic state machine without a clock. Reports hold totals,
+// so that one that comes late or twice does no harm.
+package escrower
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+const (
+	// DetachAfter is how long a router has to be without an answer of control
+	// before it spends beyond its ceiling.
+	DetachAfter = 2300 * time.Millisecond
+	// maxProvedGap is the longest time between a router's last report and the
+	// start of its successor that proves that it was not detached. It leaves room
+	// for clocks that differ.
+	maxProvedGap = 1900 * time.Millisecond
+
+	// grantedPercent is the part of what is unspent that routers may hold. The
+	// rest serves routers whose demand has just risen.
+	grantedPercent = 85
+	// grantHorizon bounds a grant by the router's demand: a partition that lasts
+	// longer than that is rare, and what a dead router holds is lost.
+	grantHorizon = 10 * time.Second
+	// idleParts is into how many parts a prepaid total is cut for routers while
+	// none of them has reported a demand.
+	idleParts = 64
+	// evenPercent of the mean demand is added to the demand of each router, since
+	// the demand of one router for a small organisation is mostly chance.
+	evenPercent = 60
+	// keepPercent of its share is what a router may keep before it is asked to
+	// return the rest.
+	keepPercent = 130
+	// topUpPercent of its share is what a router must be below to be topped up.
+	topUpPercent = 85
+)
+
+// ErrFenced is returned for reports of a process that a newer incarnation of its
+// VM has replaced.
+var ErrFenced = errors.New("a newer incarnation of this VM has reported")
+
+// LineConfig holds the parts of a line. All amounts are tokens.
+type LineConfig struct {
+	// Organisation is what the line is about. Required.
+	Organisation string
+	// Spent is what the router has spent so far.
+	Spent int64
+	// Returned is what the router has given back so far.
+	Returned int64
+	// Ceiling is the total of spending that the router asks to announce.
+	Ceiling int64
+	// Want is what the router lacks for a request, or zero.
+	Want int64
+	// Demand is what the router spends a second.
+	Demand int64
+}
+
+// Line reports on one organisation.
+type Line struct{ config LineConfig }
+
+// NewLine returns a line.
+func NewLine(c LineConfig) Line { return Line{c} }
+
+// Organisation returns what the line is about.
+func (l Line) Organisation() string { return l.config.Organisation }
+
+// Spent returns what the router has spent so far, in tokens.
+func (l Line) Spent() int64 { return l.config.Spent }
+
+// ReportConfig holds the parts of a report.
+type ReportConfig struct {
+	// Router is the process that reports. Required.
+	Router identifier.Process
+	// Sequence rises with each report of the process.
+	Sequence uint64
+	// StartedAt and SentAt are times on the clock of the router's VM.
+	StartedAt, SentAt time.Time
+	// Ended says that the router spends nothing any more.
+	Ended bool
+	// Lines are the organisations that the router uses.
+	Lines []Line
+}
+
+// Report is what a router tells the ledger.
+type Report struct{ config ReportConfig }
+
+// NewReport returns a report.
+func NewReport(c ReportConfig) Report { return Report{c} }
+
+// Router returns the process that reports.
+func (r Report) Router() identifier.Process { return r.config.Router }
+
+// Sequence returns the place of the report among those of its process.
+func (r Report) Sequence() uint64 { return r.config.Sequence }
+
+// Lines returns the organisations that the report is about.
+func (r Report) Lines() []Line { return r.config.Lines }
+
+// Grant answers a line. All amounts are tokens.
+type Grant struct {
+	organisation string
+	granted      int64
+	ceiling      int64
+	keep         int64
+	remaining    int64
+}
+
+// Organisation returns what the grant is about.
+func (g Grant) Organisation() string { return g.organisation }
+
+// Granted returns all that the router was ever granted.
+func (g Grant) Granted() int64 { return g.granted }
+
+// Ceiling returns the total of spending that is recorded for the router.
+func (g Grant) Ceiling() int64 { return g.ceiling }
+
+// Keep returns the most that the router should hold unspent.
+func (g Grant) Keep() int64 { return g.keep }
+
+// Remaining returns the most that the organisation has left: the prepaid total
+// less what is known to be spent.
+func (g Grant) Remaining() int64 { return g.remaining }
+
+// Answer answers a report.
+type Answer struct {
+	sequence uint64
+	grants   []Grant
+}
+
+// Sequence returns the sequence of the report that is answered.
+func (a Answer) Sequence() uint64 { return a.sequence }
+
+// Grants returns a grant for each line of the report whose organisation exists.
+func (a Answer) Grants() []Grant { return a.grants }
+
+// Statement is the account of an organisation. All amounts are tokens.
+type Statement struct {
+	organisation string
+	prepaid      int64
+	spent        int64
+	writtenOff   int64
+	held         int64
+}
+
+// Organisation returns whose account it is.
+func (s Statement) Organisation() string { return s.organisation }
+
+// Prepaid returns the prepaid total.
+func (s Statement) Prepaid() int64 { return s.prepaid }
+
+// Spent returns what routers have reported as spent.
+func (s Statement) Spent() int64 { return s.spent }
+
+// WrittenOff returns what dead routers may have spent without a report.
+func (s Statement) WrittenOff() int64 { return s.writtenOff }
+
+// Held returns what routers hold unspent.
+func (s Statement) Held() int64 { return s.held }
+
+// holder is what one router holds of an account.
+type holder struct {
+	granted  int64
+	returned int64
+	spent    int64
+	ceiling  int64
+	want     int64
+	demand   int64
+}
+
+// limit is the most that the router can spend.
+func (h *holder) limit() int64 { return h.granted - h.returned }
+
+// held is what the router can still spend.
+func (h *holder) held() int64 { return h.limit() - h.spent }
+
+type account struct {
+	prepaid    int64
+	ended      int64 // spent by routers that have ended
+	writtenOff int64
+	holders    map[identifier.Process]*holder
+}
+
+// free is what is set aside for nobody. It is negative after the prepaid total
+// was lowered.
+func (a *account) free() int64 {
+	free := a.prepaid - a.ended - a.writtenOff
+	for _, h := range a.holders {
+		free -= h.limit()
+	}
+	return free
+}
+
+// unspent is what nobody has spent as far as is known.
+func (a *account) unspent() int64 {
+	unspent := a.prepaid - a.ended - a.writtenOff
+	for _, h := range a.holders {
+		unspent -= h.spent
+	}
+	return unspent
+}
+
+// router is what the ledger knows of the current process of a VM.
+type router struct {
+	process  identifier.Process
+	sequence uint64
+	// lastAt is when the last report was committed, and lastSentAt when it was
+	// sent on the router's clock.
+	lastAt     time.Time
+	lastSentAt time.Time
+}
+
+// Ledger holds all accounts. It is not safe for concurrent use.
+type Ledger struct {
+	accounts map[string]*account
+	routers  map[string]*router
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{accounts: map[string]*account{}, routers: map[string]*router{}}
+}
+
+// SetPrepaid sets the prepaid total of an organisation, in tokens.
+func (l *Ledger) SetPrepaid(organisation string, tokens int64) {
+	a, ok := l.accounts[organisation]
+	if !ok {
+		a = &account{holders: map[identifier.Process]*holder{}}
+		l.accounts[organisation] = a
+	}
+	a.prepaid = tokens
+}
+
+// Apply takes a report that was committed at the given time.
+func (l *Ledger) Apply(r Report, at time.Time) (Answer, error) {
+	c := r.config
+	current, err := l.admit(c, at)
+	if err != nil {
+		return Answer{}, err
+	}
+	isNew := c.Sequence > current.sequence
+	if isNew {
+		current.sequence, current.lastAt, current.lastSentAt = c.Sequence, at, c.SentAt
+	}
+	answer := Answer{sequence: c.Sequence}
+	for _, line := range c.Lines {
+		a, ok := l.accounts[line.config.Organisation]
+		if !ok {
+			continue
+		}
+		h := a.holder(c.Router)
+		h.take(line.config, isNew)
+		l.grant(a, h)
+		h.ceiling = min(max(h.ceiling, line.config.Ceiling), h.limit())
+		answer.grants = append(answer.grants, Grant{
+			organisation: line.config.Organisation,
+			granted:      h.granted,
+			ceiling:      h.ceiling,
+			keep:         l.keep(a, h),
+			remaining:    a.unspent(),
+		})
+	}
+	if c.Ended {
+		l.end(c.Router)
+	}
+	return answer, nil
+}
+
+// admit makes the reporting process the current one of its VM.
+func (l *Ledger) admit(c ReportConfig, at time.Time) (*router, error) {
+	current, ok := l.routers[c.Router.VM()]
+	if ok && current.process == c.Router {
+		return current, nil
+	}
+	if ok && current.process.Incarnation() > c.Router.Incarnation() {
+		return nil, ErrFenced
+	}
+	if ok {
+		l.retire(current, c, at)
+	}
+	current = &router{process: c.Router}
+	l.routers[c.Router.VM()] = current
+	return current, nil
+}
+
+// retire charges the process that the reporting one has replaced with the most
+// that it can have spent.
+func (l *Ledger) retire(old *router, successor ReportConfig, at time.Time) {
+	age := successor.SentAt.Sub(successor.StartedAt)
+	byControl := at.Sub(old.lastAt) - age
+	byRouter := successor.StartedAt.Sub(old.lastSentAt)
+	attached := max(byControl, byRouter) <= maxProvedGap
+	for _, a := range l.accounts {
+		h, ok := a.holders[old.process]
+		if !ok {
+			continue
+		}
+		charge := h.limit()
+		if attached {
+			charge = max(h.spent, min(charge, h.ceiling))
+		}
+		a.ended += h.spent
+		a.writtenOff += charge - h.spent
+		delete(a.holders, old.process)
+	}
+}
+
+// end settles a process that has reported all that it spent.
+func (l *Ledger) end(process identifier.Process) {
+	for _, a := range l.accounts {
+		if h, ok := a.holders[process]; ok {
+			a.ended += h.spent
+			delete(a.holders, process)
+		}
+	}
+}
+
+func (a *account) holder(process identifier.Process) *holder {
+	h, ok := a.holders[process]
+	if !ok {
+		h = &holder{}
+		a.holders[process] = h
+	}
+	return h
+}
+
+func (h *holder) take(c LineConfig, isNew bool) {
+	h.spent = max(h.spent, min(c.Spent, h.limit()))
+	h.returned = max(h.returned, min(c.Returned, h.granted-h.spent))
+	h.ceiling = min(h.ceiling, h.limit())
+	if isNew {
+		h.want, h.demand = c.Want, c.Demand
+	}
+}
+
+// share is what the router should hold unspent.
+func (l *Ledger) share(a *account, h *holder) int64 {
+	var demand int64
+	for _, other := range a.holders {
+		demand += other.demand
+	}
+	routers := max(int64(len(l.routers)), 1)
+	base := demand*evenPercent/100/routers + 1
+	available := a.unspent() * grantedPercent / 100
+	share := scale(available, h.demand+base, demand+base*routers)
+	if demand == 0 {
+		return max(min(share, a.prepaid/idleParts), h.want)
+	}
+	horizon := int64(grantHorizon / time.Second)
+	return min(share, (h.demand+base)*horizon+h.want)
+}
+
+// grant tops the router up to its share, or to what it wants at once.
+func (l *Ledger) grant(a *account, h *holder) {
+	free := a.free()
+	if free <= 0 {
+		return
+	}
+	var amount int64
+	if lack := h.want - h.held(); h.want > 0 && lack > 0 && lack <= free {
+		amount = lack
+	}
+	share := l.share(a, h)
+	if h.held() < share*topUpPercent/100 {
+		amount = max(amount, min(share-h.held(), free))
+	}
+	h.granted += amount
+}
+
+// keep is the most that the router should hold unspent. While others want more
+// than is free, a router keeps only its share.
+func (l *Ledger) keep(a *account, h *holder) int64 {
+	share := l.share(a, h)
+	if a.free() < 0 {
+		return max(0, a.unspent()/max(int64(len(a.holders)), 1))
+	}
+	for _, other := range a.holders {
+		if other != h && other.want > other.held() && other.want-other.held() > a.free() {
+			return max(h.want, share/2)
+		}
+	}
+	return max(h.want, share*keepPercent/100)
+}
+
+// Statements returns all accounts, ordered by organisation.
+func (l *Ledger) Statements() []Statement {
+	var statements []Statement
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
+		s := Statement{organisation: name, prepaid: a.prepaid, spent: a.ended, writtenOff: a.writtenOff}
+		for _, h := range a.holders {
+			s.spent += h.spent
+			s.held += h.held()
+		}
+		statements = append(statements, s)
+	}
+	return statements
+}
+
+// scale returns amount*numerator/denominator for a quotient of at most one.
+func scale(amount, numerator, denominator int64) int64 {
+	if amount <= 0 || numerator <= 0 || denominator <= 0 {
+		return 0
+	}
+	return int64(float64(amount) * (float64(numerator) / float64(denominator)))
+}
+
+func compareProcesses(a, b identifier.Process) int {
+	return cmp.Or(cmp.Compare(a.VM(), b.VM()), cmp.Compare(a.Incarnation(), b.Incarnation()))
+}
--- a/pkg/transport/linker/handshake.go
+++ b/pkg/transport/linker/handshake.go
@@ -24,10 +24,10 @@
 	vmHeader         = "Radishshed-Vm"
 	proofHeader      = "Radishshed-Proof"
 	nonceBytes       = 16
-	handshakeTimeout = 3 * time.Second
+	handshakeTimeout = 1500 * time.Millisecond
 	maxMessageBytes  = 512 << 20
 	minRedialDelay   = 50 * time.Millisecond
-	maxRedialDelay   = time.Second
+	maxRedialDelay   = 400 * time.Millisecond
 )
 
 // hello is the first frame in both directions. The proof of the dialling end
