gateway, escrower: fund requests together while control is cut off

Ruled out: too little prepaid (the account showed it unspent and held); larger grants alone (they are lost with a router that dies). Change: routers reserve for each other's requests (loans, settled by the lender, so the ledger sees nothing new); a ceiling and a pace bound what a dead router is charged with; half of the share is granted whatever the demand; SIGHUP and a silent change of the file reload the settings; lines for budgets and for settled grants.

--- a/internal/commander/daemons.go
+++ b/internal/commander/daemons.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return settings, nil, mistake{err}
 	}
-	log, err := recorder.NewLog(os.Stderr, settings.LogLevel(), settings.VM(), settings.DataCentre())
+	log, err := recorder.NewLog(os.Stdout, settings.LogLevel(), settings.VM(), settings.DataCentre())
 	return settings, log, err
 }
 
@@ -48,6 +48,10 @@
 	if err != nil {
 		return err
 	}
+	configurer.Watch(c.ctx, configurer.WatcherConfig{
+		Path: c.Settings, Role: configurer.Router{}, Log: log,
+		Changed: func(configurer.Settings) { log.Warn("changed settings take effect at the next start") },
+	})
 	return ended(log, r.Run(c.ctx))
 }
 
@@ -66,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	configurer.Watch(c.ctx, configurer.WatcherConfig{Path: c.Settings, Role: configurer.Router{}, Changed: g.Reload, Log: log})
 	return ended(log, g.Run(c.ctx))
 }
 
@@ -93,6 +98,7 @@
 	if err != nil {
 		return err
 	}
+	configurer.Watch(c.ctx, configurer.WatcherConfig{Path: c.Settings, Role: configurer.Control{}, Changed: control.Reload, Log: log})
 	return ended(log, control.Run(c.ctx))
 }
 
--- a/internal/controller/catalogue.go
+++ b/internal/controller/catalogue.go
@@ -95,12 +95,22 @@
 		if err != nil {
 			return nil, err
 		}
+		c.logRetirement(answer.Retired())
 		return escrower.EncodeAnswer(answer)
 	default:
 		return nil, errors.Errorf("a leader does not handle messages of kind %d", kind)
 	}
 }
 
+func (c *Controller) logRetirement(r *escrower.Retirement) {
+	if r == nil {
+		return
+	}
+	c.log.Info("grants of an ended router settled", zap.Stringer("process", r.Process()), zap.Duration("gap", r.Gap()),
+		zap.Int64("spent", r.Spent()), zap.Int64("charged", r.Charged()),
+		zap.Int64("released", r.Released()))
+}
+
 func (c *Controller) leadSubmission(ctx context.Context, body []byte) ([]byte, error) {
 	record, err := messenger.DecodeCatalogue(body)
 	if err != nil {
@@ -136,6 +146,19 @@
 	return messenger.EncodeAnswer(messenger.NewAnswer(result))
 }
 
+// logBudgets records what is left of each token budget, so that a refusal can be
+// traced to it.
+func (c *Controller) logBudgets(ctx context.Context) {
+	var statements []escrower.Statement
+	if err := c.query(ctx, false, func(s *applier.State) { statements = s.Escrow().Statements() }); err != nil {
+		return // logged at the next tick
+	}
+	for _, s := range statements {
+		c.log.Info("budget", zap.String("organisation", s.Organisation()), zap.Int64("prepaid", s.Prepaid()),
+			zap.Int64("spent", s.Spent()), zap.Int64("writtenOff", s.WrittenOff()), zap.Int64("held", s.Held()))
+	}
+}
+
 // publishCatalogue makes the applied catalogue known to routers.
 func (c *Controller) publishCatalogue(record cataloguer.Record) {
 	if record.Number() == c.catalogue.Load().Number() {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,6 +59,7 @@
 	startedAt     uint64 // Unix time in nanoseconds
 	configuration atomic.Pointer[archiver.Configuration]
 	catalogue     atomic.Pointer[cataloguer.Record]
+	addresses     atomic.Pointer[[]string] // of control VMs, as the settings say
 	status        atomic.Pointer[status]
 	stopping      atomic.Bool
 }
@@ -91,6 +92,7 @@
 	c.status.Store(&status{})
 	c.configuration.Store(&archiver.Configuration{})
 	c.catalogue.Store(&cataloguer.Record{})
+	c.Reload(config.Settings)
 	if err := c.openEndpoint(); err != nil {
 		return nil, err
 	}
@@ -158,6 +160,13 @@
 	return nil
 }
 
+// Reload takes over what may change in the settings of a running process: the
+// addresses of control VMs.
+func (c *Controller) Reload(settings configurer.Settings) {
+	addresses := settings.ControlAddresses()
+	c.addresses.Store(&addresses)
+}
+
 // Run serves until the context ends, then shuts down in order: leadership is
 // handed over first, so that the fleet does not have to wait for an election.
 func (c *Controller) Run(ctx context.Context) error {
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -62,7 +62,7 @@
 }
 
 func (c *Controller) controlAddresses() []string {
-	addresses := slices.Clone(c.settings.ControlAddresses())
+	addresses := slices.Clone(*c.addresses.Load())
 	for _, e := range c.spreader.Live() {
 		if len(e.Key()) > len(ControlPrefix) && e.Key()[:len(ControlPrefix)] == ControlPrefix {
 			addresses = append(addresses, string(e.Value()))
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		c.retireSilent(ctx)
+		c.logBudgets(ctx)
 		c.handOutSweeps(ctx)
 		c.handOutOrphans(ctx)
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -30,7 +30,6 @@
 
 	// Times after which refused callers should come back.
 	startingRetry = 300 * time.Millisecond
-	grantRetry    = 250 * time.Millisecond
 	targetRetry   = 250 * time.Millisecond
 	fullRetry     = 300 * time.Millisecond
 	// retrySpread is by which part these are varied, so that those who were
@@ -312,7 +311,7 @@
 	q.gateway.log.Info(event, append([]zap.Field{
 		zap.String("request", q.call.ID()), zap.String("route", q.route.Name()), zap.String("organisation", q.organisation),
 		zap.String("target", q.target), zap.Int("attempts", q.attempts), zap.Uint64("catalogue", number),
-		zap.Int64("reserved", q.reserved), zap.Int64("delivered", q.delivered), zap.Duration("took", time.Since(q.arrivedAt)),
+		zap.Int64("reserved", q.funding.total()), zap.Int("loans", len(q.funding.loans)), zap.Int64("delivered", q.delivered), zap.Duration("took", time.Since(q.arrivedAt)),
 	}, fields...)...)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -27,6 +29,9 @@
 	membershipInterval = 500 * time.Millisecond
 	presenceInterval   = 5 * time.Second
 	presenceLease      = 20 * time.Second
+	// linkedRouters is how many other routers each router keeps a link to. As many
+	// again keep one to it.
+	linkedRouters = 6
 	// stallGrace is how long the leases of targets do not count after links to
 	// control have come back, until announcements have arrived again.
 	stallGrace = 3 * time.Second
@@ -42,9 +47,19 @@
 
 func (u updatesLink) SendUpdates(data []byte) error { return u.peer.Notify(messenger.Updates, data) }
 
-func (g *Gateway) connected(p *linker.Peer) { g.spreader.Add(updatesLink{p}) }
+// connected starts spreading news over links to control. Links between routers
+// carry none, since news would go round many times.
+func (g *Gateway) connected(p *linker.Peer) {
+	if p.Identity().Role() == linker.Control {
+		g.spreader.Add(updatesLink{p})
+	}
+}
 
 func (g *Gateway) disconnected(p *linker.Peer) {
+	if p.Identity().Role() != linker.Control {
+		g.chargeLoans(p.Identity().Process(), time.Now())
+		return
+	}
 	g.spreader.Remove(updatesLink{p})
 	if len(g.controlPeers()) == 0 {
 		g.log.Warn("no control VM can be reached")
@@ -61,7 +76,7 @@
 			g.announceSelf()
 			announcedAt = time.Now()
 		}
-		g.endpoint.Keep(g.controlAddresses())
+		g.endpoint.Keep(g.linkAddresses())
 		if len(g.controlPeers()) == 0 {
 			g.stallEndsAt.Store(time.Now().Add(stallGrace).UnixNano())
 		}
@@ -86,32 +101,60 @@
 	}
 }
 
-// controlAddresses returns the link addresses of all control VMs that are known,
-// and counts the routers.
-func (g *Gateway) controlAddresses() []string {
-	addresses := slices.Clone(g.settings.ControlAddresses())
-	routers := int64(0)
+// linkAddresses returns the addresses of all control VMs that are known and of
+// some routers, and counts the routers.
+func (g *Gateway) linkAddresses() []string {
+	addresses := slices.Clone(*g.addresses.Load())
+	var routers []disseminator.Entry
 	for _, e := range g.spreader.Live() {
 		switch {
 		case strings.HasPrefix(e.Key(), controlPrefix):
 			addresses = append(addresses, string(e.Value()))
 		case strings.HasPrefix(e.Key(), gatewayPrefix):
-			routers++
+			routers = append(routers, e)
 		}
 	}
-	g.routerCount.Store(max(1, routers))
+	g.routerCount.Store(max(1, int64(len(routers))))
+	addresses = append(addresses, g.peerAddresses(routers)...)
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
 
-func (g *Gateway) controlPeers() []*linker.Peer {
-	var control []*linker.Peer
+// peerAddresses chooses the routers to keep links to. The choice by hash spreads
+// the links evenly and changes little when routers come and go (rendezvous
+// hashing; Thaler and Ravishankar, 1998).
+func (g *Gateway) peerAddresses(routers []disseminator.Entry) []string {
+	own := g.process.VM()
+	slices.SortFunc(routers, func(a, b disseminator.Entry) int {
+		return cmp.Compare(pairWeight(own, b.Key()), pairWeight(own, a.Key()))
+	})
+	var addresses []string
+	for _, e := range routers {
+		if e.Key() != gatewayPrefix+own && len(addresses) < linkedRouters {
+			addresses = append(addresses, string(e.Value()))
+		}
+	}
+	return addresses
+}
+
+func pairWeight(own, other string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(own + "\x00" + other) // never fails, as documented by hash.Hash
+	return digest.Sum64()
+}
+
+func (g *Gateway) controlPeers() []*linker.Peer { return g.peersOf(linker.Control) }
+
+func (g *Gateway) gatewayPeers() []*linker.Peer { return g.peersOf(linker.Router) }
+
+func (g *Gateway) peersOf(role linker.Role) []*linker.Peer {
+	var peers []*linker.Peer
 	for _, p := range g.endpoint.Peers() {
-		if p.Identity().Role() == linker.Control {
-			control = append(control, p)
+		if p.Identity().Role() == role {
+			peers = append(peers, p)
 		}
 	}
-	return control
+	return peers
 }
 
 // stalled reports whether news of targets does not arrive at present.
@@ -152,6 +195,10 @@
 		return nil, err
 	case messenger.CatalogueRequest:
 		return messenger.EncodeCatalogue(*g.record.Load())
+	case messenger.LoanRequest:
+		return g.lend(from, body)
+	case messenger.LoanReturn:
+		return nil, g.takeBack(from, body)
 	case messenger.ConfigurationNews:
 		return nil, nil // tickets do not concern a gateway
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	placer    *placer.Placer
 	spender   *spender.Spender
 	retrier   *retrier.Retrier
+	lenders   *lenders
 
 	catalogue   atomic.Pointer[cataloguer.Catalogue]
 	record      atomic.Pointer[cataloguer.Record]
@@ -73,8 +74,9 @@
 	fetches     chan *linker.Peer
 	reportNow   chan struct{}
 	routerCount atomic.Int64
-	stallEndsAt atomic.Int64           // Unix time in nanoseconds
-	leader      atomic.Pointer[string] // VM that leads, if known
+	addresses   atomic.Pointer[[]string] // of control VMs, as the settings say
+	stallEndsAt atomic.Int64             // Unix time in nanoseconds
+	leader      atomic.Pointer[string]   // VM that leads, if known
 	draining    atomic.Bool
 }
 
@@ -91,12 +93,14 @@
 		metrics:   metrics.NewRegistry(),
 		timeline:  recorder.NewTimeline(c.Settings.VM()),
 		placer:    placer.New(),
+		lenders:   newLenders(),
 		spender:   spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:   make(chan *linker.Peer, maxQueuedFetches),
 		reportNow: make(chan struct{}, 1),
 	}
 	g.meters = newMeters(g.metrics)
 	g.record.Store(&cataloguer.Record{})
+	g.Reload(c.Settings)
 	g.exchanger = exchanger.New(exchanger.Config{Opened: func() { g.meters.connections.Inc(1) }})
 	g.spreader = disseminator.NewSpreader(disseminator.SpreaderConfig{Changed: g.learn})
 	retries := c.Settings.Retries()
@@ -127,6 +131,13 @@
 	return g, err
 }
 
+// Reload takes over what may change in the settings of a running process: the
+// addresses of control VMs.
+func (g *Gateway) Reload(settings configurer.Settings) {
+	addresses := settings.ControlAddresses()
+	g.addresses.Store(&addresses)
+}
+
 // Run serves until the context ends, then drains: it goes on serving until the
 // balancer has noticed, and ends once all requests are answered.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -170,6 +181,8 @@
 	if err := public.Shutdown(ctx); err != nil {
 		g.log.Warn("requests cut off", recorder.Err(err))
 	}
+	// Nobody could settle loans with a process that has ended.
+	g.chargeLoans(identifier.Process{}, time.Now().Add(loanLifetime))
 	ctx, cancel := context.WithTimeout(ctx, lastReportTimeout)
 	defer cancel()
 	if err := g.report(ctx, true); err != nil {
@@ -229,6 +242,7 @@
 			return
 		case now := <-ticker.C:
 			g.exchanger.Sweep(now)
+			g.chargeLoans(identifier.Process{}, now)
 			if !g.stalled(now) {
 				g.placer.Forget(now.Add(-targetMemory))
 			}
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -16,6 +16,7 @@
 	abandoned   metrics.Counter
 	retried     metrics.Counter
 	resumed     metrics.Counter
+	borrowed    metrics.Counter
 	connections metrics.Counter
 	firstByte   metrics.Histogram // milliseconds
 	whole       metrics.Histogram // milliseconds
@@ -34,6 +35,7 @@
 		abandoned:   counter("requestsAbandoned"),
 		retried:     counter("requestsRetried"),
 		resumed:     counter("streamsResumed"),
+		borrowed:    counter("requestsFundedByOthers"),
 		connections: counter("targetConnections"),
 		firstByte:   histogram("firstByteMilliseconds"),
 		whole:       histogram("requestMilliseconds"),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,7 +12,6 @@
 
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/placer"
-	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
 
@@ -20,9 +19,6 @@
 	// maxUnreached is how many targets may turn out to be unreachable for one
 	// request before it is refused. None of them has received it.
 	maxUnreached = 3
-	// grantPatience is how long a request waits for control to raise a grant. An
-	// answer takes a few milliseconds.
-	grantPatience = 120 * time.Millisecond
 	// spareTime is left of the caller's time for passing the answer on.
 	spareTime = 30 * time.Millisecond
 
@@ -45,9 +41,9 @@
 	priority     int
 	body         []byte
 
-	reserved  int64 // tokens set aside
-	mayHave   bool  // whether a target may have run the request
-	attempts  int   // targets that it was sent to
+	funding   funding
+	mayHave   bool // whether a target may have run the request
+	attempts  int  // targets that it was sent to
 	excluded  []string
 	started   bool // whether the answer has begun
 	delivered int64
@@ -71,7 +67,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	if refusal := q.reserve(ctx); refusal != nil {
+	if refusal := q.fund(ctx); refusal != nil {
 		q.refuse(refusal)
 		return
 	}
@@ -130,61 +126,16 @@
 	return nil
 }
 
-// reserve sets the most that the request can consume aside. It waits for a moment
-// if control can grant more.
-func (q *request) reserve(ctx context.Context) *refusal {
-	tokens := q.call.MaxTokens()
-	organisation, ok := q.catalogue.Organisation(q.call.config.Secret)
-	if !ok || tokens == 0 {
-		return nil
-	}
-	if _, limited := organisation.PrepaidTokens(); !limited {
-		return nil
-	}
-	s := q.gateway.spender
-	giveUpAt := time.Now().Add(grantPatience)
-	for {
-		changed := s.Changed()
-		now := time.Now()
-		verdict := s.Reserve(q.organisation, tokens, now)
-		switch v := verdict.(type) {
-		case spender.Reserved:
-			q.reserved = tokens
-			return nil
-		case spender.Exhausted:
-			return refuse(http.StatusPaymentRequired, "budgetExhausted", 0,
-				zap.Int64("tokens", tokens), zap.Int64("remaining", v.Remaining()), zap.Duration("age", v.AckAge()))
-		case spender.Short:
-			if v.Detached() || now.After(giveUpAt) {
-				return refuse(http.StatusServiceUnavailable, "grantTooSmall", grantRetry,
-					zap.Int64("tokens", tokens), zap.Int64("held", v.Held()),
-					zap.Bool("detached", v.Detached()), zap.Duration("age", v.AckAge()))
-			}
-		}
-		q.gateway.urgeReport()
-		timer := time.NewTimer(time.Until(giveUpAt) + time.Millisecond)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return q.timedOut()
-		}
-	}
-}
-
 // settle charges what the request has consumed.
 func (q *request) settle() {
-	if q.reserved == 0 {
+	if q.funding.total() == 0 {
 		return
 	}
 	spent := int64(0)
 	if q.mayHave {
 		spent = q.call.config.PromptTokens + q.delivered
 	}
-	q.gateway.spender.Settle(q.organisation, q.reserved, spent, time.Now())
+	q.gateway.settle(q.funding, spent)
 }
 
 // run sends the request to targets until one has answered.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -54,6 +54,11 @@
 	// SpendingReport carries a router's report on token budgets. Call, answered
 	// by an Answer that holds the ledger's answer.
 	SpendingReport
+	// LoanRequest asks a router to reserve tokens for a request of another. Call,
+	// answered by a Loan with the tokens that it has reserved.
+	LoanRequest
+	// LoanReturn tells a router what of a loan was spent. Notice.
+	LoanReturn
 )
 
 // Answer is a control VM's answer to a call: either a result, or a hint at the
@@ -266,3 +271,44 @@
 	err := encoder.Unmarshal(data, &w)
 	return cataloguer.RecordFromWire(w), err
 }
+
+// Loan is a reservation that a router makes for a request of another: how much is
+// asked for, how much was reserved, or how much was spent of it.
+type Loan struct {
+	id           uint64
+	organisation string
+	tokens       int64
+}
+
+// NewLoan returns a loan. The identifier is the borrower's.
+func NewLoan(id uint64, organisation string, tokens int64) Loan {
+	return Loan{id, organisation, tokens}
+}
+
+// ID returns the identifier that the borrower has given.
+func (l Loan) ID() uint64 { return l.id }
+
+// Organisation returns whose budget it is.
+func (l Loan) Organisation() string { return l.organisation }
+
+// Tokens returns the amount.
+func (l Loan) Tokens() int64 { return l.tokens }
+
+type wireLoan struct {
+	_            struct{} `cbor:",toarray"`
+	ID           uint64
+	Organisation string
+	Tokens       int64
+}
+
+// EncodeLoan returns the CBOR form of a loan.
+func EncodeLoan(l Loan) ([]byte, error) {
+	return encoder.Marshal(wireLoan{ID: l.id, Organisation: l.organisation, Tokens: l.tokens})
+}
+
+// DecodeLoan is the inverse of EncodeLoan.
+func DecodeLoan(data []byte) (Loan, error) {
+	var w wireLoan
+	err := encoder.Unmarshal(data, &w)
+	return Loan{w.ID, w.Organisation, w.Tokens}, err
+}
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -20,9 +20,12 @@
 
 const (
 	// ceilingSpan is for how long the announced ceiling lasts at the present
-	// demand. It is longer than escrower.DetachAfter, so that a router that is cut
-	// off can go on until it may use its whole grant.
-	ceilingSpan = 3 * time.Second
+	// demand. Reports are less than half of that apart.
+	ceilingSpan = 700 * time.Millisecond
+	// paceRatio is by how much a router that is cut off may exceed its demand.
+	paceRatio = 1.5
+	// detachedAfter is the silence of control after which it counts as cut off.
+	detachedAfter = 900 * time.Millisecond
 	// demandSpan is the time constant of the average of the demand.
 	demandSpan = 4 * time.Second
 	// ReportInterval is how often a router reports while it spends.
@@ -81,6 +84,7 @@
 	granted   int64
 	returned  int64
 	ceiling   int64
+	pace      int64
 	spent     int64
 	reserved  int64
 	remaining int64
@@ -93,12 +97,10 @@
 	reported  int64 // what the last report held as spent
 }
 
-func (a *account) limit(detached bool) int64 {
-	limit := a.granted - a.returned
-	if detached {
-		return limit
-	}
-	return min(limit, a.ceiling)
+// limit is the total that the router may spend after control has been silent for
+// a time.
+func (a *account) limit(silence time.Duration) int64 {
+	return escrower.Allowance(a.granted-a.returned, a.ceiling, a.pace, silence)
 }
 
 // Config configures a spender.
@@ -140,7 +142,7 @@
 	defer s.mutex.Unlock()
 	a := s.account(organisation, now)
 	detached := s.detached(now)
-	available := a.limit(detached) - a.spent - a.reserved
+	available := a.limit(s.silence(now)) - a.spent - a.reserved
 	if tokens <= available {
 		a.reserved += tokens
 		return Reserved{}
@@ -154,6 +156,22 @@
 	return Short{detached, available, now.Sub(s.ackedAt)}
 }
 
+// lendPercent is the part of what is free that is reserved in parts for requests
+// that a router does not cover alone.
+const lendPercent = 80
+
+// ReservePart sets up to the given tokens of an organisation aside and returns how
+// many it did.
+func (s *Spender) ReservePart(organisation string, tokens int64, now time.Time) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	a := s.account(organisation, now)
+	available := a.limit(s.silence(now)) - a.spent - a.reserved
+	part := max(0, min(tokens, available*lendPercent/100))
+	a.reserved += part
+	return part
+}
+
 // Settle ends a reservation with what the request has cost. A request costs what
 // it reserved at most.
 func (s *Spender) Settle(organisation string, reserved, spent int64, now time.Time) {
@@ -176,8 +194,7 @@
 	}
 }
 
-// Detached reports whether control has not answered for so long that the router
-// may use its whole grants.
+// Detached reports whether control cannot be reached.
 func (s *Spender) Detached(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -185,7 +202,16 @@
 }
 
 func (s *Spender) detached(now time.Time) bool {
-	return !s.ackedAt.IsZero() && now.Sub(s.ackedAt) >= escrower.DetachAfter
+	return s.silence(now) >= detachedAfter
+}
+
+// silence is the age of the newest report that control has answered. Before the
+// first the router holds nothing anyway.
+func (s *Spender) silence(now time.Time) time.Duration {
+	if s.ackedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.ackedAt)
 }
 
 // account returns the organisation's account with its demand as of now.
@@ -245,17 +271,24 @@
 		}
 		a.reported = a.spent
 		ahead := int64(a.demand * ceilingSpan.Seconds())
+		pace := int64(a.demand * paceRatio)
+		ceiling := a.spent + max(a.reserved+ahead, a.want)
+		// What is lower holds at once, since the answer that confirms it may be lost.
+		a.pace = min(a.pace, pace)
+		a.ceiling = min(a.ceiling, ceiling)
 		lines = append(lines, escrower.NewLine(escrower.LineConfig{
 			Organisation: name,
 			Spent:        a.spent,
 			Returned:     a.returned,
-			Ceiling:      a.spent + max(a.reserved+ahead, a.want),
+			Ceiling:      ceiling,
+			Pace:         pace,
 			Want:         a.want,
 			Demand:       int64(a.demand),
 		}))
 	}
 	return escrower.NewReport(escrower.ReportConfig{
-		Router: s.config.Process, Sequence: s.sequence, StartedAt: s.config.StartedAt, SentAt: now, Ended: ended, Lines: lines,
+		Router: s.config.Process, Sequence: s.sequence, StartedAt: s.config.StartedAt, SentAt: now,
+		Silence: s.silence(now), Ended: ended, Lines: lines,
 	})
 }
 
@@ -263,6 +296,7 @@
 func (s *Spender) Take(answer escrower.Answer, sentAt time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	isNewest := answer.Sequence() == s.sequence
 	if sentAt.After(s.ackedAt) {
 		s.ackedAt = sentAt
 	}
@@ -272,7 +306,9 @@
 			continue
 		}
 		a.granted = max(a.granted, g.Granted())
-		a.ceiling = max(a.ceiling, g.Ceiling())
+		if isNewest {
+			a.ceiling, a.pace = g.Ceiling(), g.Pace()
+		}
 		a.remaining, a.known = g.Remaining(), true
 		// Only what no request can have reserved or spent goes back.
 		idle := a.granted - a.returned - a.spent - a.reserved
--- a/pkg/state/escrower/codec.go
+++ b/pkg/state/escrower/codec.go
@@ -15,6 +15,7 @@
 	Spent        int64
 	Returned     int64
 	Ceiling      int64
+	Pace         int64
 	Want         int64
 	Demand       int64
 }
@@ -25,6 +26,7 @@
 	Sequence  uint64
 	StartedAt int64 // Unix time in milliseconds
 	SentAt    int64 // as above
+	Silence   int64 // milliseconds
 	Ended     bool
 	Lines     []wireLine
 }
@@ -34,6 +36,7 @@
 	Organisation string
 	Granted      int64
 	Ceiling      int64
+	Pace         int64
 	Keep         int64
 	Remaining    int64
 }
@@ -49,12 +52,13 @@
 	c := r.config
 	w := wireReport{
 		Router: encoder.ProcessToWire(c.Router), Sequence: c.Sequence,
-		StartedAt: c.StartedAt.UnixMilli(), SentAt: c.SentAt.UnixMilli(), Ended: c.Ended,
+		StartedAt: c.StartedAt.UnixMilli(), SentAt: c.SentAt.UnixMilli(),
+		Silence: c.Silence.Milliseconds(), Ended: c.Ended,
 	}
 	for _, line := range c.Lines {
 		l := line.config
 		w.Lines = append(w.Lines, wireLine{
-			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Want: l.Want, Demand: l.Demand,
+			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Pace: l.Pace, Want: l.Want, Demand: l.Demand,
 		})
 	}
 	return encoder.Marshal(w)
@@ -68,11 +72,12 @@
 	}
 	c := ReportConfig{
 		Router: encoder.ProcessFromWire(w.Router), Sequence: w.Sequence,
-		StartedAt: time.UnixMilli(w.StartedAt), SentAt: time.UnixMilli(w.SentAt), Ended: w.Ended,
+		StartedAt: time.UnixMilli(w.StartedAt), SentAt: time.UnixMilli(w.SentAt),
+		Silence: time.Duration(w.Silence) * time.Millisecond, Ended: w.Ended,
 	}
 	for _, l := range w.Lines {
 		c.Lines = append(c.Lines, NewLine(LineConfig{
-			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Want: l.Want, Demand: l.Demand,
+			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Pace: l.Pace, Want: l.Want, Demand: l.Demand,
 		}))
 	}
 	return NewReport(c), nil
@@ -83,7 +88,7 @@
 	w := wireAnswer{Sequence: a.sequence}
 	for _, g := range a.grants {
 		w.Grants = append(w.Grants, wireGrant{
-			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Keep: g.keep, Remaining: g.remaining,
+			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Pace: g.pace, Keep: g.keep, Remaining: g.remaining,
 		})
 	}
 	return encoder.Marshal(w)
@@ -97,7 +102,7 @@
 	}
 	a := Answer{sequence: w.Sequence}
 	for _, g := range w.Grants {
-		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Keep, g.Remaining})
+		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Pace, g.Keep, g.Remaining})
 	}
 	return a, nil
 }
@@ -109,6 +114,7 @@
 	Returned int64
 	Spent    int64
 	Ceiling  int64
+	Pace     int64
 	Want     int64
 	Demand   int64
 }
@@ -128,6 +134,7 @@
 	Sequence   uint64
 	LastAt     int64 // Unix time in milliseconds
 	LastSentAt int64 // as above
+	Silence    int64 // milliseconds
 }
 
 type wireLedger struct {
@@ -146,7 +153,7 @@
 			h := a.holders[process]
 			wa.Holders = append(wa.Holders, wireHolder{
 				Process: encoder.ProcessToWire(process), Granted: h.granted, Returned: h.returned,
-				Spent: h.spent, Ceiling: h.ceiling, Want: h.want, Demand: h.demand,
+				Spent: h.spent, Ceiling: h.ceiling, Pace: h.pace, Want: h.want, Demand: h.demand,
 			})
 		}
 		w.Accounts = append(w.Accounts, wa)
@@ -155,7 +162,7 @@
 		r := l.routers[vm]
 		w.Routers = append(w.Routers, wireRouter{
 			Process: encoder.ProcessToWire(r.process), Sequence: r.sequence,
-			LastAt: r.lastAt.UnixMilli(), LastSentAt: r.lastSentAt.UnixMilli(),
+			LastAt: r.lastAt.UnixMilli(), LastSentAt: r.lastSentAt.UnixMilli(), Silence: r.silence.Milliseconds(),
 		})
 	}
 	return encoder.Marshal(w)
@@ -176,13 +183,15 @@
 			prepaid: wa.Prepaid, ended: wa.Ended, writtenOff: wa.WrittenOff, holders: map[identifier.Process]*holder{},
 		}
 		for _, h := range wa.Holders {
-			a.holders[encoder.ProcessFromWire(h.Process)] = &holder{h.Granted, h.Returned, h.Spent, h.Ceiling, h.Want, h.Demand}
+			a.holders[encoder.ProcessFromWire(h.Process)] = &holder{h.Granted, h.Returned, h.Spent, h.Ceiling, h.Pace, h.Want, h.Demand}
 		}
 		l.accounts[wa.Organisation] = a
 	}
 	for _, r := range w.Routers {
 		process := encoder.ProcessFromWire(r.Process)
-		l.routers[process.VM()] = &router{process, r.Sequence, time.UnixMilli(r.LastAt), time.UnixMilli(r.LastSentAt)}
+		l.routers[process.VM()] = &router{
+			process, r.Sequence, time.UnixMilli(r.LastAt), time.UnixMilli(r.LastSentAt), time.Duration(r.Silence) * time.Millisecond,
+		}
 	}
 	return l, nil
 }
--- a/pkg/state/escrower/escrower.go
+++ b/pkg/state/escrower/escrower.go
@@ -9,11 +9,11 @@
 // what the ledger has not set aside (escrow; O'Neil, "The Escrow Transactional
 // Method", 1986).
 //
-// Beside its grant a router has a ceiling: the total that it has announced and
-// the ledger has recorded. It goes beyond the ceiling, up to its grant, only
-// once it has been without an answer of control for DetachAfter. So the ledger
-// charges a router that died soon after a report with its ceiling, and any other
-// with its whole grant.
+// Beside its grant a router has a ceiling and a pace, which it has announced and
+// the ledger has recorded. It spends up to the ceiling and, while answers of
+// control are missing, goes beyond it at that pace for a while (Allowance).
+// So the ledger charges a router that has died with what it can have spent until
+// its successor started, and not with its whole grant.
 //
 // A Ledger is a deterministic state machine without a clock. Reports hold totals,
 // so that one that comes late or twice does no harm.
@@ -31,17 +31,21 @@
 )
 
 const (
-	// DetachAfter is how long a router has to be without an answer of control
-	// before it spends beyond its ceiling.
-	DetachAfter = 2300 * time.Millisecond
-	// maxProvedGap is the longest time between a router's last report and the
-	// start of its successor that proves that it was not detached. It leaves room
-	// for clocks that differ.
-	maxProvedGap = 1900 * time.Millisecond
+	// grace is the silence of control from which on a router goes beyond its
+	// ceiling. Answers are less than that apart.
+	grace = 600 * time.Millisecond
+	// detachment is the silence of control after which a router may spend its whole
+	// grant. A restart of all processes takes less.
+	detachment = 2400 * time.Millisecond
+	// clockMargin is by how much clocks may differ.
+	clockMargin = 300 * time.Millisecond
 
 	// grantedPercent is the part of what is unspent that routers may hold. The
 	// rest serves routers whose demand has just risen.
 	grantedPercent = 85
+	// floorPercent of that is granted whatever the demand was, since the prepaid
+	// total itself tells what an organisation expects to use.
+	floorPercent = 50
 	// grantHorizon bounds a grant by the router's demand: a partition that lasts
 	// longer than that is rare, and what a dead router holds is lost.
 	grantHorizon = 10 * time.Second
@@ -72,6 +76,9 @@
 	Returned int64
 	// Ceiling is the total of spending that the router asks to announce.
 	Ceiling int64
+	// Pace is how many tokens a second the router asks to go beyond the ceiling
+	// while control is silent.
+	Pace int64
 	// Want is what the router lacks for a request, or zero.
 	Want int64
 	// Demand is what the router spends a second.
@@ -98,6 +105,9 @@
 	Sequence uint64
 	// StartedAt and SentAt are times on the clock of the router's VM.
 	StartedAt, SentAt time.Time
+	// Silence is how long before SentAt the newest report was sent that control
+	// has answered.
+	Silence time.Duration
 	// Ended says that the router spends nothing any more.
 	Ended bool
 	// Lines are the organisations that the router uses.
@@ -124,6 +134,7 @@
 	organisation string
 	granted      int64
 	ceiling      int64
+	pace         int64
 	keep         int64
 	remaining    int64
 }
@@ -137,6 +148,9 @@
 // Ceiling returns the total of spending that is recorded for the router.
 func (g Grant) Ceiling() int64 { return g.ceiling }
 
+// Pace returns how many tokens a second the router may go beyond the ceiling.
+func (g Grant) Pace() int64 { return g.pace }
+
 // Keep returns the most that the router should hold unspent.
 func (g Grant) Keep() int64 { return g.keep }
 
@@ -148,8 +162,39 @@
 type Answer struct {
 	sequence uint64
 	grants   []Grant
+	retired  *Retirement
+}
+
+// Retirement is what became of the grants of a process that a newer incarnation
+// of its VM has replaced. All amounts are tokens.
+type Retirement struct {
+	process  identifier.Process
+	gap      time.Duration
+	spent    int64
+	charged  int64
+	released int64
 }
 
+// Process returns the process that was replaced.
+func (r Retirement) Process() identifier.Process { return r.process }
+
+// Gap returns the longest time that the process can have been without an answer
+// of control when it died.
+func (r Retirement) Gap() time.Duration { return r.gap }
+
+// Spent returns what the process had reported.
+func (r Retirement) Spent() int64 { return r.spent }
+
+// Charged returns what it was charged with beyond that.
+func (r Retirement) Charged() int64 { return r.charged }
+
+// Released returns what became free.
+func (r Retirement) Released() int64 { return r.released }
+
+// Retired returns what became of the process that the reporting one has replaced,
+// or nil. It is known only where the report was applied.
+func (a Answer) Retired() *Retirement { return a.retired }
+
 // Sequence returns the sequence of the report that is answered.
 func (a Answer) Sequence() uint64 { return a.sequence }
 
@@ -186,6 +231,7 @@
 	returned int64
 	spent    int64
 	ceiling  int64
+	pace     int64
 	want     int64
 	demand   int64
 }
@@ -230,6 +276,7 @@
 	// sent on the router's clock.
 	lastAt     time.Time
 	lastSentAt time.Time
+	silence    time.Duration
 }
 
 // Ledger holds all accounts. It is not safe for concurrent use.
@@ -256,15 +303,15 @@
 // Apply takes a report that was committed at the given time.
 func (l *Ledger) Apply(r Report, at time.Time) (Answer, error) {
 	c := r.config
-	current, err := l.admit(c, at)
+	answer := Answer{sequence: c.Sequence}
+	current, err := l.admit(c, at, &answer)
 	if err != nil {
 		return Answer{}, err
 	}
 	isNew := c.Sequence > current.sequence
 	if isNew {
-		current.sequence, current.lastAt, current.lastSentAt = c.Sequence, at, c.SentAt
+		current.sequence, current.lastAt, current.lastSentAt, current.silence = c.Sequence, at, c.SentAt, c.Silence
 	}
-	answer := Answer{sequence: c.Sequence}
 	for _, line := range c.Lines {
 		a, ok := l.accounts[line.config.Organisation]
 		if !ok {
@@ -273,13 +320,16 @@
 		h := a.holder(c.Router)
 		h.take(line.config, isNew)
 		l.grant(a, h)
-		h.ceiling = min(max(h.ceiling, line.config.Ceiling), h.limit())
+		if isNew {
+			h.ceiling = min(max(h.spent, line.config.Ceiling), h.limit())
+		}
 		answer.grants = append(answer.grants, Grant{
 			organisation: line.config.Organisation,
 			granted:      h.granted,
 			ceiling:      h.ceiling,
+			pace:         h.pace,
 			keep:         l.keep(a, h),
-			remaining:    a.unspent(),
+			remaining:    a.unspent() + a.writtenOff,
 		})
 	}
 	if c.Ended {
@@ -289,7 +339,7 @@
 }
 
 // admit makes the reporting process the current one of its VM.
-func (l *Ledger) admit(c ReportConfig, at time.Time) (*router, error) {
+func (l *Ledger) admit(c ReportConfig, at time.Time, answer *Answer) (*router, error) {
 	current, ok := l.routers[c.Router.VM()]
 	if ok && current.process == c.Router {
 		return current, nil
@@ -298,33 +348,44 @@
 		return nil, ErrFenced
 	}
 	if ok {
-		l.retire(current, c, at)
+		answer.retired = l.retire(current, c, at)
 	}
 	current = &router{process: c.Router}
 	l.routers[c.Router.VM()] = current
 	return current, nil
 }
 
+// Allowance returns the total that a router with a grant may spend after control
+// has been silent for a time.
+func Allowance(limit, ceiling, pace int64, silence time.Duration) int64 {
+	if silence >= detachment {
+		return limit
+	}
+	beyond := max(0, silence-grace)
+	return min(limit, ceiling+int64(float64(pace)*beyond.Seconds()))
+}
+
 // retire charges the process that the reporting one has replaced with the most
 // that it can have spent.
-func (l *Ledger) retire(old *router, successor ReportConfig, at time.Time) {
+func (l *Ledger) retire(old *router, successor ReportConfig, at time.Time) *Retirement {
 	age := successor.SentAt.Sub(successor.StartedAt)
 	byControl := at.Sub(old.lastAt) - age
 	byRouter := successor.StartedAt.Sub(old.lastSentAt)
-	attached := max(byControl, byRouter) <= maxProvedGap
+	r := &Retirement{process: old.process, gap: max(byControl, byRouter, 0) + old.silence}
 	for _, a := range l.accounts {
 		h, ok := a.holders[old.process]
 		if !ok {
 			continue
 		}
-		charge := h.limit()
-		if attached {
-			charge = max(h.spent, min(charge, h.ceiling))
-		}
+		charge := max(h.spent, Allowance(h.limit(), h.ceiling, h.pace, r.gap+clockMargin))
 		a.ended += h.spent
 		a.writtenOff += charge - h.spent
+		r.spent += h.spent
+		r.charged += charge - h.spent
+		r.released += h.limit() - charge
 		delete(a.holders, old.process)
 	}
+	return r
 }
 
 // end settles a process that has reported all that it spent.
@@ -349,9 +410,8 @@
 func (h *holder) take(c LineConfig, isNew bool) {
 	h.spent = max(h.spent, min(c.Spent, h.limit()))
 	h.returned = max(h.returned, min(c.Returned, h.granted-h.spent))
-	h.ceiling = min(h.ceiling, h.limit())
 	if isNew {
-		h.want, h.demand = c.Want, c.Demand
+		h.want, h.demand, h.pace = c.Want, c.Demand, c.Pace
 	}
 }
 
@@ -369,7 +429,7 @@
 		return max(min(share, a.prepaid/idleParts), h.want)
 	}
 	horizon := int64(grantHorizon / time.Second)
-	return min(share, (h.demand+base)*horizon+h.want)
+	return min(share, max((h.demand+base)*horizon, share*floorPercent/100)+h.want)
 }
 
 // grant tops the router up to its share, or to what it wants at once.
