--- a/internal/controller/catalogue.go
+++ b/internal/controller/catalogue.go
@@ -159,7 +159,9 @@
 	}
 }
 
-// publishCatalogue makes the applied catalogue known to routers.
+// publishCatalogue makes the catalogue of a state that is known to be current
+// known to routers. A member that replays its journal publishes none of the
+// catalogues that have been replaced since.
 func (c *Controller) publishCatalogue(record cataloguer.Record) {
 	if record.Number() == c.catalogue.Load().Number() {
 		return
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -148,13 +148,13 @@
 		send:         c.sendReplicate,
 		applied:      c.applied,
 		publish:      func(s status) { c.status.Store(&s) },
+		current:      func(s *applier.State) { c.publishCatalogue(s.Catalogue()) },
 		inputs:       inputs,
 		proposals:    map[uint64]pendingProposal{},
 		queries:      map[uint64]queryInput{},
 		appliedIndex: recovered.Snapshot.Index(),
 	}
 	c.publishConfiguration(state)
-	c.publishCatalogue(state.Catalogue())
 	c.log.Info("data folder opened",
 		zap.Stringer("member", c.member), zap.Int("records", len(contents.Records())))
 	return nil
@@ -268,9 +268,6 @@
 	switch r := result.(type) {
 	case nil:
 		c.publishConfiguration(state)
-		c.publishCatalogue(state.Catalogue())
-	case applier.CatalogueResult:
-		c.publishCatalogue(state.Catalogue())
 	case applier.TicketResult:
 		if _, ok := r.Submission().(archiver.Accepted); ok {
 			c.announceTicket(state)
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -20,11 +20,12 @@
 var errInDoubt = errors.New("leadership was lost: the command may or may not take effect")
 
 const (
-	tickInterval      = 100 * time.Millisecond
+	tickInterval      = 50 * time.Millisecond
 	inputQueue        = 4096
 	maxInputsPerFlush = 1024
-	// compactAfterEntries is how many entries are applied between snapshots.
-	compactAfterEntries = 20_000
+	// compactAfterEntries is how many entries are applied between snapshots. All
+	// of them are applied again after a restart, before the fleet is served.
+	compactAfterEntries = 1000
 	// compactAfterBytes bounds the journal between snapshots.
 	compactAfterBytes = 64 << 20
 )
@@ -88,6 +89,8 @@
 	send    func(replicator.Message)
 	applied func(*applier.State, applier.Command, applier.Result, bool)
 	publish func(status)
+	// current is called with the state whenever it is known to be current.
+	current func(*applier.State)
 
 	inputs       chan input
 	proposals    map[uint64]pendingProposal
@@ -347,6 +350,9 @@
 	}
 	r.lastStatus = s
 	r.publish(s)
+	if r.replica.Current() {
+		r.current(r.state)
+	}
 }
 
 // failProposals ends the wait for proposals whose fate another leader decides.
--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// grantPatience is how long a request waits for control to raise a grant,
-	// which takes a few milliseconds if control can be reached.
-	grantPatience = 45 * time.Millisecond
+	// minPatience and maxPatience bound how long a request waits for control to
+	// raise a grant, which takes a few milliseconds if control can be reached.
+	// Between them it waits for patiencePart of its aim.
+	minPatience  = 40 * time.Millisecond
+	maxPatience  = 120 * time.Millisecond
+	patiencePart = 0.11
 	// controlSilence is the age of control's newest answer from which on a request
 	// does not wait for the next.
 	controlSilence = 800 * time.Millisecond
@@ -109,7 +112,8 @@
 // awaitGrant waits for an answer of control that covers the request.
 func (q *request) awaitGrant(ctx context.Context, tokens int64) spender.Verdict {
 	s := q.gateway.spender
-	timer := time.NewTimer(grantPatience)
+	patience := time.Duration(patiencePart * float64(q.route.Aim()))
+	timer := time.NewTimer(min(max(patience, minPatience), maxPatience))
 	defer timer.Stop()
 	for {
 		changed := s.Changed()
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -148,12 +148,12 @@
 		return Reserved{}
 	}
 	if a.known && !detached && tokens > a.remaining {
-		return Exhausted{a.remaining, now.Sub(s.ackedAt)}
+		return Exhausted{a.remaining, s.silence(now)}
 	}
 	a.want = max(a.want, a.reserved+tokens)
 	a.wantUntil = now.Add(wantLifetime)
 	s.urgent = true
-	return Short{detached, available, now.Sub(s.ackedAt)}
+	return Short{detached, available, s.silence(now)}
 }
 
 // lendPercent is the part of what is free that is reserved in parts for requests
@@ -206,10 +206,10 @@
 }
 
 // silence is the age of the newest report that control has answered. Before the
-// first the router holds nothing anyway.
+// first it is counted from the start.
 func (s *Spender) silence(now time.Time) time.Duration {
 	if s.ackedAt.IsZero() {
-		return 0
+		return now.Sub(s.config.StartedAt)
 	}
 	return now.Sub(s.ackedAt)
 }
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// Current reports whether all that was committed when the present leader took
+// over has been taken here. Before that the member may not know of entries that
+// were committed long ago, since a journal does not say how far the log is.
+func (r *Replica) Current() bool {
+	return !r.leader.IsZero() && r.taken == r.commit && r.committedInTerm()
+}
+
 // Propose appends a command and returns its place. The command is committed
 // if, and only if, an entry with that index and term is committed.
 func (r *Replica) Propose(data []byte) (index, term uint64, err error) {
--- a/pkg/state/escrower/codec.go
+++ b/pkg/state/escrower/codec.go
@@ -183,7 +183,9 @@
 			prepaid: wa.Prepaid, ended: wa.Ended, writtenOff: wa.WrittenOff, holders: map[identifier.Process]*holder{},
 		}
 		for _, h := range wa.Holders {
-			a.holders[encoder.ProcessFromWire(h.Process)] = &holder{h.Granted, h.Returned, h.Spent, h.Ceiling, h.Pace, h.Want, h.Demand}
+			restored := &holder{h.Granted, h.Returned, h.Spent, h.Ceiling, h.Pace, h.Want, h.Demand}
+			a.holders[encoder.ProcessFromWire(h.Process)] = restored
+			a.sums.add(restored, 1)
 		}
 		l.accounts[wa.Organisation] = a
 	}
--- a/pkg/state/escrower/escrower.go
+++ b/pkg/state/escrower/escrower.go
@@ -36,9 +36,9 @@
 	grace = 600 * time.Millisecond
 	// detachment is the silence of control after which a router may spend its whole
 	// grant. A restart of all processes takes less.
-	detachment = 2400 * time.Millisecond
+	detachment = 3 * time.Second
 	// clockMargin is by how much clocks may differ.
-	clockMargin = 300 * time.Millisecond
+	clockMargin = 250 * time.Millisecond
 
 	// grantedPercent is the part of what is unspent that routers may hold. The
 	// rest serves routers whose demand has just risen.
@@ -242,31 +242,50 @@
 // held is what the router can still spend.
 func (h *holder) held() int64 { return h.limit() - h.spent }
 
+// lack is what the router wants beyond what it holds.
+func (h *holder) lack() int64 { return max(0, h.want-h.held()) }
+
 type account struct {
 	prepaid    int64
 	ended      int64 // spent by routers that have ended
 	writtenOff int64
 	holders    map[identifier.Process]*holder
+	sums       sums
+}
+
+// sums are running sums over the holders of an account.
+type sums struct {
+	limit  int64
+	spent  int64
+	demand int64
+	lack   int64
+}
+
+func (s *sums) add(h *holder, sign int64) {
+	s.limit += sign * h.limit()
+	s.spent += sign * h.spent
+	s.demand += sign * h.demand
+	s.lack += sign * h.lack()
+}
+
+// change changes a holder and keeps the sums.
+func (a *account) change(h *holder, change func()) {
+	a.sums.add(h, -1)
+	change()
+	a.sums.add(h, 1)
+}
+
+func (a *account) drop(process identifier.Process, h *holder) {
+	a.sums.add(h, -1)
+	delete(a.holders, process)
 }
 
 // free is what is set aside for nobody. It is negative after the prepaid total
 // was lowered.
-func (a *account) free() int64 {
-	free := a.prepaid - a.ended - a.writtenOff
-	for _, h := range a.holders {
-		free -= h.limit()
-	}
-	return free
-}
+func (a *account) free() int64 { return a.prepaid - a.ended - a.writtenOff - a.sums.limit }
 
 // unspent is what nobody has spent as far as is known.
-func (a *account) unspent() int64 {
-	unspent := a.prepaid - a.ended - a.writtenOff
-	for _, h := range a.holders {
-		unspent -= h.spent
-	}
-	return unspent
-}
+func (a *account) unspent() int64 { return a.prepaid - a.ended - a.writtenOff - a.sums.spent }
 
 // router is what the ledger knows of the current process of a VM.
 type router struct {
@@ -318,8 +337,9 @@
 			continue
 		}
 		h := a.holder(c.Router)
-		h.take(line.config, isNew)
-		l.grant(a, h)
+		a.change(h, func() { h.take(line.config, isNew) })
+		amount := l.topUp(a, h)
+		a.change(h, func() { h.granted += amount })
 		if isNew {
 			h.ceiling = min(max(h.spent, line.config.Ceiling), h.limit())
 		}
@@ -383,7 +403,7 @@
 		r.spent += h.spent
 		r.charged += charge - h.spent
 		r.released += h.limit() - charge
-		delete(a.holders, old.process)
+		a.drop(old.process, h)
 	}
 	return r
 }
@@ -393,7 +413,7 @@
 	for _, a := range l.accounts {
 		if h, ok := a.holders[process]; ok {
 			a.ended += h.spent
-			delete(a.holders, process)
+			a.drop(process, h)
 		}
 	}
 }
@@ -417,10 +437,7 @@
 
 // share is what the router should hold unspent.
 func (l *Ledger) share(a *account, h *holder) int64 {
-	var demand int64
-	for _, other := range a.holders {
-		demand += other.demand
-	}
+	demand := a.sums.demand
 	routers := max(int64(len(l.routers)), 1)
 	base := demand*evenPercent/100/routers + 1
 	available := a.unspent() * grantedPercent / 100
@@ -432,11 +449,12 @@
 	return min(share, max((h.demand+base)*horizon, share*floorPercent/100)+h.want)
 }
 
-// grant tops the router up to its share, or to what it wants at once.
-func (l *Ledger) grant(a *account, h *holder) {
+// topUp returns what the router is granted: what it lacks to its share, or what it
+// wants at once.
+func (l *Ledger) topUp(a *account, h *holder) int64 {
 	free := a.free()
 	if free <= 0 {
-		return
+		return 0
 	}
 	var amount int64
 	if lack := h.want - h.held(); h.want > 0 && lack > 0 && lack <= free {
@@ -446,7 +464,7 @@
 	if h.held() < share*topUpPercent/100 {
 		amount = max(amount, min(share-h.held(), free))
 	}
-	h.granted += amount
+	return amount
 }
 
 // keep is the most that the router should hold unspent. While others want more
@@ -456,10 +474,8 @@
 	if a.free() < 0 {
 		return max(0, a.unspent()/max(int64(len(a.holders)), 1))
 	}
-	for _, other := range a.holders {
-		if other != h && other.want > other.held() && other.want-other.held() > a.free() {
-			return max(h.want, share/2)
-		}
+	if a.sums.lack-h.lack() > a.free() {
+		return max(h.want, share/2)
 	}
 	return max(h.want, share*keepPercent/100)
 }
@@ -469,12 +485,10 @@
 	var statements []Statement
 	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
 		a := l.accounts[name]
-		s := Statement{organisation: name, prepaid: a.prepaid, spent: a.ended, writtenOff: a.writtenOff}
-		for _, h := range a.holders {
-			s.spent += h.spent
-			s.held += h.held()
-		}
-		statements = append(statements, s)
+		statements = append(statements, Statement{
+			organisation: name, prepaid: a.prepaid, spent: a.ended + a.sums.spent,
+			writtenOff: a.writtenOff, held: a.sums.limit - a.sums.spent,
+		})
 	}
 	return statements
 }
--- /dev/null
+++ b/pkg/state/escrower/escrower_test.go
@@ -0,0 +1,203 @@
+package escrower_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/state/escrower"
+)
+
+const organisation = "shops"
+
+// fakeRouter is a router that spends as much as it may, in the worst way that it
+// can: it spends all at once, and what it spends is reported late or never.
+type fakeRouter struct {
+	process   identifier.Process
+	startedAt time.Time
+	sequence  uint64
+	granted   int64
+	returned  int64
+	ceiling   int64
+	pace      int64
+	spent     int64
+	ackedAt   time.Time
+	alive     bool
+}
+
+func (r *fakeRouter) silence(now time.Time) time.Duration {
+	if r.ackedAt.IsZero() {
+		return now.Sub(r.startedAt)
+	}
+	return now.Sub(r.ackedAt)
+}
+
+func (r *fakeRouter) limit(now time.Time) int64 {
+	return escrower.Allowance(r.granted-r.returned, r.ceiling, r.pace, r.silence(now))
+}
+
+func (r *fakeRouter) report(now time.Time, ceiling, pace, want, demand int64) escrower.Report {
+	r.sequence++
+	ceiling = r.spent + ceiling
+	r.ceiling, r.pace = min(r.ceiling, ceiling), min(r.pace, pace)
+	return escrower.NewReport(escrower.ReportConfig{
+		Router: r.process, Sequence: r.sequence, StartedAt: r.startedAt, SentAt: now, Silence: r.silence(now),
+		Lines: []escrower.Line{escrower.NewLine(escrower.LineConfig{
+			Organisation: organisation, Spent: r.spent, Returned: r.returned, Ceiling: ceiling, Pace: pace, Want: want, Demand: demand,
+		})},
+	})
+}
+
+func (r *fakeRouter) take(a escrower.Answer, sentAt time.Time) {
+	if sentAt.After(r.ackedAt) {
+		r.ackedAt = sentAt
+	}
+	for _, g := range a.Grants() {
+		r.granted = max(r.granted, g.Granted())
+		if a.Sequence() == r.sequence {
+			r.ceiling, r.pace = g.Ceiling(), g.Pace()
+		}
+		if excess := r.granted - r.returned - max(r.spent, r.ceiling) - g.Keep(); excess > 0 {
+			r.returned += excess
+		}
+	}
+}
+
+// Guards: an organisation's spend never exceeds its prepaid budget, whatever dies
+// and whatever is lost or late on the way.
+func TestSpendStaysWithinPrepaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prepaid := rapid.Int64Range(0, 100_000).Draw(t, "prepaid")
+		ledger := escrower.New()
+		ledger.SetPrepaid(organisation, prepaid)
+		now := time.Unix(1_800_000_000, 0)
+		routers := make([]*fakeRouter, 4)
+		ended := int64(0)
+		incarnation := uint64(0)
+		start := func(i int) {
+			incarnation++
+			routers[i] = &fakeRouter{
+				process: identifier.NewProcess(fmt.Sprintf("router-%d", i), incarnation), startedAt: now, alive: true,
+			}
+		}
+		for i := range routers {
+			start(i)
+		}
+		var late []escrower.Report
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "elapsed")) * time.Millisecond)
+			i := rapid.IntRange(0, len(routers)-1).Draw(t, "router")
+			r := routers[i]
+			switch rapid.SampledFrom([]string{"spend", "spend", "report", "report", "lose", "delay", "deliver", "restart", "topUp", "snapshot"}).Draw(t, "step") {
+			case "spend":
+				if room := r.limit(now) - r.spent; room > 0 {
+					r.spent += rapid.Int64Range(0, room).Draw(t, "tokens")
+				}
+			case "report", "lose", "delay":
+				report := r.report(now, rapid.Int64Range(0, 20_000).Draw(t, "ceiling"), rapid.Int64Range(0, 20_000).Draw(t, "pace"),
+					rapid.Int64Range(0, 30_000).Draw(t, "want"), rapid.Int64Range(0, 10_000).Draw(t, "demand"))
+				if rapid.Bool().Draw(t, "late") {
+					late = append(late, report)
+					continue
+				}
+				answer, err := ledger.Apply(report, now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if rapid.Bool().Draw(t, "answered") {
+					r.take(answer, now)
+				}
+			case "deliver":
+				if len(late) > 0 {
+					_, _ = ledger.Apply(late[0], now) // the process may have been replaced
+					late = late[1:]
+				}
+			case "restart":
+				ended += r.spent
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "down")) * time.Millisecond)
+				start(i)
+			case "topUp":
+				prepaid += rapid.Int64Range(0, 20_000).Draw(t, "more")
+				ledger.SetPrepaid(organisation, prepaid)
+			case "snapshot":
+				data, err := ledger.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if ledger, err = escrower.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			spent := ended
+			for _, r := range routers {
+				spent += r.spent
+			}
+			if spent > prepaid {
+				t.Fatalf("spent %d of %d", spent, prepaid)
+			}
+			s := ledger.Statements()[0]
+			if s.Spent()+s.WrittenOff()+s.Held() > prepaid {
+				t.Fatalf("set aside %d + %d + %d of %d", s.Spent(), s.WrittenOff(), s.Held(), prepaid)
+			}
+		}
+	})
+}
+
+// Guards: a router that was killed with everything else is charged with little
+// more than it spent, so that the budget lasts for those that come after it.
+func TestDeadRouterIsChargedWithItsAllowance(t *testing.T) {
+	const prepaid = 1_000_000
+	cases := []struct {
+		name       string
+		down       time.Duration
+		mostCharge int64
+	}{
+		{"restarted within a second", time.Second, 30_000},
+		{"away for longer than a partition takes to be noticed", 5 * time.Second, prepaid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ledger := escrower.New()
+			ledger.SetPrepaid(organisation, prepaid)
+			now := time.Unix(1_800_000_000, 0)
+			r := &fakeRouter{process: identifier.NewProcess("router", 1), startedAt: now}
+			for range 3 {
+				answer, err := ledger.Apply(r.report(now, 7_000, 15_000, 0, 10_000), now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.take(answer, now)
+				now = now.Add(250 * time.Millisecond)
+			}
+			now = now.Add(c.down)
+			successor := &fakeRouter{process: identifier.NewProcess("router", 2), startedAt: now}
+			answer, err := ledger.Apply(successor.report(now, 0, 0, 0, 0), now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			retired := answer.Retired()
+			if retired == nil || retired.Charged() > c.mostCharge {
+				t.Fatalf("%+v, want at most %d charged", retired, c.mostCharge)
+			}
+		})
+	}
+}
+
+// Guards: reports of a process that a newer incarnation has replaced change
+// nothing.
+func TestReplacedProcessIsFenced(t *testing.T) {
+	ledger := escrower.New()
+	ledger.SetPrepaid(organisation, 1000)
+	now := time.Unix(1_800_000_000, 0)
+	old := &fakeRouter{process: identifier.NewProcess("router", 1), startedAt: now}
+	successor := &fakeRouter{process: identifier.NewProcess("router", 2), startedAt: now}
+	if _, err := ledger.Apply(successor.report(now, 0, 0, 0, 0), now); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ledger.Apply(old.report(now, 0, 0, 500, 0), now); err == nil {
+		t.Fatal("a replaced process got a grant")
+	}
+}
