placer: place by what a request costs itself, its neighbours and the caches

Traces showed two causes: routers that do not know of each other's long prompts queue behind them (first events after 1 to 1.8 s on single engines), and the reading of a prompt of over 25,000 tokens pauses every stream beside it for over 500 ms. Ruled out: slots (10 of 64 in use) and whole-engine overload (45%). Change: each engine's reading is a queue that is known from own sends and from news that routers send each other; a request goes where its own lateness, the streams that it holds up and the shared parts that are read again cost least. A full disk no longer ends control: it waits, and the others elect a leader.

--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
@@ -22,6 +23,7 @@
 const (
 	tickInterval      = 50 * time.Millisecond
 	inputQueue        = 4096
+	diskRetryInterval = 100 * time.Millisecond
 	maxInputsPerFlush = 1024
 	// compactAfterEntries is how many entries are applied between snapshots. All
 	// of them are applied again after a restart, before the fleet is served.
@@ -116,7 +118,7 @@
 			r.handle(in)
 			r.drain()
 		}
-		if err := r.flush(); err != nil {
+		if err := r.flush(ctx); err != nil {
 			return err
 		}
 	}
@@ -179,11 +181,11 @@
 }
 
 // flush makes everything durable, then sends and applies it.
-func (r *replication) flush() error {
+func (r *replication) flush(ctx context.Context) error {
 	r.replica.Flush()
 	for {
 		output := r.replica.Take()
-		if err := r.persist(output); err != nil {
+		if err := r.insist(ctx, func() error { return r.persist(output) }); err != nil {
 			return err
 		}
 		for _, message := range output.Messages() {
@@ -197,7 +199,31 @@
 		}
 	}
 	r.publishStatus()
-	return r.compactIfDue()
+	return r.compactIfDue(ctx)
+}
+
+// insist writes to the disk until it succeeds, since a disk may be full for a
+// while. Meanwhile this member answers nobody and does not count as leader; the
+// others elect one of theirs.
+func (r *replication) insist(ctx context.Context, write func() error) error {
+	err := write()
+	if err == nil {
+		return nil
+	}
+	r.log.Error("disk refuses writes", recorder.Err(err))
+	r.lastStatus = status{membership: r.lastStatus.membership}
+	r.publish(r.lastStatus)
+	r.failProposals()
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "stopped while the disk refused writes")
+		case <-time.After(diskRetryInterval):
+		}
+		err = write()
+	}
+	r.log.Info("disk takes writes again")
+	return nil
 }
 
 func (r *replication) persist(output replicator.Output) error {
@@ -275,7 +301,7 @@
 	return nil
 }
 
-func (r *replication) compactIfDue() error {
+func (r *replication) compactIfDue(ctx context.Context) error {
 	if r.sinceCompact < compactAfterEntries && r.journal.Bytes() < compactAfterBytes {
 		return nil
 	}
@@ -289,7 +315,7 @@
 	if _, err := r.replica.Compact(r.appliedIndex, data); err != nil {
 		return err
 	}
-	if err := r.rewriteJournal(); err != nil {
+	if err := r.insist(ctx, r.rewriteJournal); err != nil {
 		return err
 	}
 	r.log.Info("journal compacted", zap.Uint64("index", r.appliedIndex), zap.Int("snapshotBytes", len(data)))
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -31,7 +31,7 @@
 	presenceLease      = 20 * time.Second
 	// linkedRouters is how many other routers each router keeps a link to. As many
 	// again keep one to it.
-	linkedRouters = 6
+	linkedRouters = 8
 	// stallGrace is how long the leases of targets do not count after links to
 	// control have come back, until announcements have arrived again.
 	stallGrace = 3 * time.Second
@@ -199,6 +199,12 @@
 		return g.lend(from, body)
 	case messenger.LoanReturn:
 		return nil, g.takeBack(from, body)
+	case messenger.ReadingNews:
+		reading, err := messenger.DecodeReading(body)
+		if err == nil {
+			g.placer.Note(reading.Target(), reading.Duration(), reading.HoldsUp(), time.Now())
+		}
+		return nil, err
 	case messenger.ConfigurationNews:
 		return nil, nil // tickets do not concern a gateway
 	default:
@@ -305,9 +311,10 @@
 	if err != nil {
 		return err
 	}
-	data, err = g.leaderFirst(peers).Call(ctx, messenger.SpendingReport, data)
+	peer := g.reportPeer(peers)
+	data, err = peer.Call(ctx, messenger.SpendingReport, data)
 	if err != nil {
-		g.leader.Store(nil)
+		g.reporter.Store(nil)
 		return err
 	}
 	answer, err := messenger.DecodeAnswer(data)
@@ -315,10 +322,10 @@
 		return err
 	}
 	if answer.Redirected() {
-		vm := answer.LeaderVM()
-		g.leader.Store(&vm)
-		return errors.Errorf("redirected to %q", vm)
+		g.reporter.Store(nil)
+		return errors.Errorf("%s knows no leader", peer.Identity().Process())
 	}
+	g.reporter.Store(peer)
 	grants, err := escrower.DecodeAnswer(answer.Body())
 	if err != nil {
 		return err
@@ -327,20 +334,33 @@
 	return nil
 }
 
-// leaderFirst returns the peer that leads as far as is known, or any other, which
-// passes the report on.
-func (g *Gateway) leaderFirst(peers []*linker.Peer) *linker.Peer {
-	if vm := g.leader.Load(); vm != nil {
-		for _, p := range peers {
-			if p.Identity().Process().VM() == *vm {
-				return p
-			}
-		}
+// reportPeer returns the control VM that answered the last report, or any other.
+// Those that do not lead pass reports on.
+func (g *Gateway) reportPeer(peers []*linker.Peer) *linker.Peer {
+	if last := g.reporter.Load(); last != nil && slices.Contains(peers, last) {
+		return last
+	}
+	return peers[rand.IntN(len(peers))]
+}
+
+// minToldReading is how long a target must read a prompt for other routers to be
+// told. Shorter ones hold nobody up.
+const minToldReading = 25 * time.Millisecond
+
+// tellReading tells other routers that a target is busy with a long prompt. Its
+// own reports come too late for those who place requests in the same moment.
+func (g *Gateway) tellReading(p *placer.Placement) {
+	if p.Reading() < minToldReading {
+		return
 	}
-	for _, p := range peers {
-		if p.Identity().DataCentre() == g.settings.DataCentre() {
-			return p
+	data, err := messenger.EncodeReading(messenger.NewReading(p.Target().Name(), p.Reading(), p.HoldsUp()))
+	if err != nil {
+		g.log.Warn("reading not encoded", recorder.Err(err))
+		return
+	}
+	for _, peer := range g.gatewayPeers() {
+		if err := peer.Notify(messenger.ReadingNews, data); err != nil {
+			g.log.Debug("router not told of a long prompt", zap.Stringer("peer", peer.Identity().Process()), recorder.Err(err))
 		}
 	}
-	return peers[rand.IntN(len(peers))]
 }
--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -30,7 +30,7 @@
 	partitionRetry = 300 * time.Millisecond
 	scarceRetry    = 2500 * time.Millisecond
 	// maxLenders is how many routers are asked to reserve for one request.
-	maxLenders    = 6
+	maxLenders    = 10
 	lenderTimeout = 40 * time.Millisecond
 	// dryTime is how long the other routers are not asked again after they could
 	// not cover a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,9 +74,9 @@
 	fetches     chan *linker.Peer
 	reportNow   chan struct{}
 	routerCount atomic.Int64
-	addresses   atomic.Pointer[[]string] // of control VMs, as the settings say
-	stallEndsAt atomic.Int64             // Unix time in nanoseconds
-	leader      atomic.Pointer[string]   // VM that leads, if known
+	addresses   atomic.Pointer[[]string]    // of control VMs, as the settings say
+	stallEndsAt atomic.Int64                // Unix time in nanoseconds
+	reporter    atomic.Pointer[linker.Peer] // control VM that answered the last report
 	draining    atomic.Bool
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -147,6 +147,7 @@
 			q.giveUp(refuse(http.StatusServiceUnavailable, "noTarget", targetRetry))
 			return
 		}
+		q.gateway.tellReading(placement)
 		result := q.use(ctx, placement)
 		if result.answered {
 			return
@@ -211,7 +212,11 @@
 
 func (q *request) place() (*placer.Placement, error) {
 	now := time.Now()
+	engine, _ := q.service.Engine()
 	return q.gateway.placer.Choose(placer.Choice{
+		TokensPerEvent: engine.TokensPerEvent,
+		Pause:          q.route.Pause(),
+
 		Service: q.service.Name(),
 		Parts:   q.call.config.Parts,
 		Aim:     q.route.Aim(),
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,6 +2,8 @@
 package messenger
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/pkg/protocol/encoder"
@@ -59,6 +61,8 @@
 	LoanRequest
 	// LoanReturn tells a router what of a loan was spent. Notice.
 	LoanReturn
+	// ReadingNews tells routers that a target reads a long prompt. Notice.
+	ReadingNews
 )
 
 // Answer is a control VM's answer to a call: either a result, or a hint at the
@@ -312,3 +316,43 @@
 	err := encoder.Unmarshal(data, &w)
 	return Loan{w.ID, w.Organisation, w.Tokens}, err
 }
+
+// Reading says that a target has been sent a long prompt.
+type Reading struct {
+	target   string
+	duration time.Duration
+	holdsUp  bool
+}
+
+// NewReading returns the news of a prompt that the target reads for a time.
+func NewReading(target string, duration time.Duration, holdsUp bool) Reading {
+	return Reading{target, duration, holdsUp}
+}
+
+// Target returns the name of the target.
+func (r Reading) Target() string { return r.target }
+
+// Duration returns how long the target reads the prompt.
+func (r Reading) Duration() time.Duration { return r.duration }
+
+// HoldsUp reports whether the reading holds up the streams that run there.
+func (r Reading) HoldsUp() bool { return r.holdsUp }
+
+type wireReading struct {
+	_            struct{} `cbor:",toarray"`
+	Target       string
+	Milliseconds int64
+	HoldsUp      bool
+}
+
+// EncodeReading returns the CBOR form of the news.
+func EncodeReading(r Reading) ([]byte, error) {
+	return encoder.Marshal(wireReading{Target: r.target, Milliseconds: r.duration.Milliseconds(), HoldsUp: r.holdsUp})
+}
+
+// DecodeReading is the inverse of EncodeReading.
+func DecodeReading(data []byte) (Reading, error) {
+	var w wireReading
+	err := encoder.Unmarshal(data, &w)
+	return Reading{w.Target, time.Duration(w.Milliseconds) * time.Millisecond, w.HoldsUp}, err
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -1,10 +1,10 @@
 // Package placer chooses the target of a request.
 //
-// It answers two loads. Model requests share parts of their prompts, which an
+// It answers three loads. Model requests share parts of their prompts, which an
 // engine keeps in memory: requests with the same shared parts go to the same
-// engine, their home, so that the parts are read once, unless the home is so busy
-// that the first event would be late; then they go to the next home in the same
-// order at all routers, so that a busy part is read by few engines. Requests to
+// engine, their home, so that the parts are read once. A long prompt holds up the
+// streams that run beside it: it goes where few run, or where another long prompt
+// holds them up already, and short requests keep away from there. Requests to
 // plain services go where the least work is.
 //
 // Homes are found by rendezvous hashing (Thaler and Ravishankar, 1998). A Placer
@@ -30,19 +30,35 @@
 var ErrNoTarget = errors.New("no target serves this service at present")
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond, taken
-	// on the low side.
-	readRate = 50
-	// homes is how many engines a busy part of a prompt may be kept by.
-	homes = 3
-	// busyPart is the part of a request's aim that the work before it at its home
-	// may take.
-	busyPart = 0.55
+	// readRate is how many prompt tokens an engine reads in a millisecond.
+	readRate = 60
+	// pairRate is how many pairs of tokens it relates to each other in a
+	// millisecond, which is what long prompts take the most time for.
+	pairRate = 3.6e6
+	// A first event is late for sure, and in no danger, at these parts of the aim.
+	lateFrom, lateAt = 0.5, 1.0
+	// The pauses of streams are too long for sure, and in no danger, at these
+	// parts of the longest pause.
+	pauseFrom, pauseAt = 0.85, 1.0
+	// heldUpCost is the part that counts of streams that are held up already.
+	heldUpCost = 0.25
+	// Costs are in short answers that are late. rereadCost is that of a thousand
+	// tokens of shared parts that are read again.
+	rereadCost = 0.35
+	// baseValue and valueTokens are what a long answer counts for: one short one
+	// for each valueTokens of its prompt, beside baseValue.
+	baseValue, valueTokens = 0.6, 5000
+	// nextHomeCost is the part of it that counts at the second home, where other
+	// routers may have sent the parts as well.
+	nextHomeCost = 0.8
+	// chunkTokens is how much of a prompt an engine reads between two tokens of
+	// the streams that run there.
+	chunkTokens = 4096
+	// stepTime is how long an engine takes for a token of each stream.
+	stepTime = 4 * time.Millisecond
 	// waitingCost is what a request that waits inside an engine adds to the time
 	// to the first event.
 	waitingCost = 30 * time.Millisecond
-	// faultCost is what a recent failure of a target weighs in time.
-	faultCost = 400 * time.Millisecond
 )
 
 // Part is a part of a prompt that requests may share.
@@ -66,6 +82,10 @@
 	Parts []Part
 	// Aim is the time to the first event within which the answer is on time.
 	Aim time.Duration
+	// TokensPerEvent and Pause describe the streams of the service: how many
+	// tokens an event holds, and the longest pause between events that is on time.
+	TokensPerEvent int64
+	Pause          time.Duration
 	// Exclude names targets that must not be chosen.
 	Exclude []string
 	// Stalled says that news of targets does not arrive, so that their leases do
@@ -77,18 +97,27 @@
 
 // Placement is the use of a target for one request. Ended must be called.
 type Placement struct {
-	placer   *Placer
-	target   *target
-	uncached int64
-	sentAt   time.Time
-	reading  bool
-	ended    bool
-	home     int
+	placer *Placer
+	target *target
+	// reading is the estimate of how long the target reads the prompt, and readAt
+	// of when it will have done so.
+	reading time.Duration
+	readAt  time.Time
+	waits   bool // whether the answer has not begun
+	holdsUp bool // whether the reading holds up other streams
+	ended   bool
+	home    int
 }
 
 // Target returns the announcement of the chosen target.
 func (p *Placement) Target() selector.Announcement { return p.target.announcement }
 
+// Reading returns the estimate of how long the target reads the prompt.
+func (p *Placement) Reading() time.Duration { return p.reading }
+
+// HoldsUp reports whether the reading holds up the streams that run there.
+func (p *Placement) HoldsUp() bool { return p.holdsUp }
+
 // Home returns the place of the target in the order of homes, from zero, or -1
 // for requests without shared parts.
 func (p *Placement) Home() int { return p.home }
@@ -199,19 +228,41 @@
 	}
 	var t *target
 	home := -1
-	var uncached int64
+	cached := int64(0)
 	if len(c.Parts) > 1 {
-		t, home = chooseHome(c, usable)
-		uncached = c.Parts[len(c.Parts)-1].tokens
+		t, home, cached = chooseEngine(c, usable)
 	} else {
 		t = chooseIdle(c, usable)
-		for _, part := range c.Parts {
-			uncached += part.tokens
-		}
 	}
+	uncached := c.promptTokens() - cached
+	reading := readingTime(cached, uncached)
 	t.open++
-	t.prefilling += uncached
-	return &Placement{placer: p, target: t, uncached: uncached, sentAt: c.Now, reading: true, home: home}, nil
+	placement := &Placement{placer: p, target: t, reading: reading, readAt: t.queue(reading, c.Now), waits: true, home: home}
+	if c.holdsUp(cached, uncached) > 0 {
+		placement.holdsUp = true
+		t.heldUpUntil = placement.readAt
+	}
+	return placement, nil
+}
+
+func (c Choice) promptTokens() int64 {
+	tokens := int64(0)
+	for _, part := range c.Parts {
+		tokens += part.tokens
+	}
+	return tokens
+}
+
+// Note counts a prompt that another router has sent to a target.
+func (p *Placer) Note(name string, reading time.Duration, holdsUp bool, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if t, ok := p.targets[name]; ok {
+		readAt := t.queue(reading, now)
+		if holdsUp {
+			t.heldUpUntil = readAt
+		}
+	}
 }
 
 // usable returns the targets that may be chosen. Targets that could not be
@@ -233,36 +284,84 @@
 	return usable
 }
 
-// chooseHome returns the home of the request's shared parts, or the least busy of
-// its next homes if the first event would be late there.
-func chooseHome(c Choice, usable []*target) (*target, int) {
+// chooseEngine returns the engine at which the request costs least: by being late
+// itself, by holding up the streams that run there, and by the shared parts that
+// are read again.
+func chooseEngine(c Choice, usable []*target) (t *target, home int, cached int64) {
+	shared := int64(0)
+	for _, part := range c.Parts[:len(c.Parts)-1] {
+		shared += part.tokens
+	}
+	own := c.Parts[len(c.Parts)-1].tokens
 	key := c.Parts[len(c.Parts)-2].id
 	ordered := slices.Clone(usable)
 	slices.SortFunc(ordered, func(a, b *target) int {
 		return cmp.Compare(weight(key, b.announcement.Name()), weight(key, a.announcement.Name()))
 	})
-	limit := time.Duration(float64(c.Aim) * busyPart)
-	var best *target
-	var bestWait time.Duration
-	place := 0
-	for i, t := range ordered[:min(len(ordered), homes)] {
-		wait := t.engineWait(c.Now)
-		if wait <= limit {
-			return t, i
+	bestCost := 0.0
+	for i, candidate := range ordered {
+		kept, reread := shared, 0.0
+		if i > 0 && !candidate.keeps(key, c.Now) {
+			kept, reread = 0, float64(shared)/1000*rereadCost
+			if i == 1 {
+				reread *= nextHomeCost
+			}
 		}
-		if best == nil || wait < bestWait {
-			best, bestWait, place = t, wait, i
+		reading := readingTime(kept, own+shared-kept)
+		cost := reread + candidate.lateCost(reading, c) + candidate.holdUpCost(c.holdsUp(kept, own+shared-kept), c.Now)
+		if t == nil || cost < bestCost {
+			t, home, cached, bestCost = candidate, i, kept, cost
 		}
 	}
-	return best, place
+	t.noteParts(key, c.Now)
+	return t, home, cached
+}
+
+// lateCost is the risk that the request itself is late.
+func (t *target) lateCost(reading time.Duration, c Choice) float64 {
+	first := t.engineWait(c.Now) + reading
+	aim := float64(c.Aim)
+	value := baseValue + float64(c.promptTokens())/valueTokens
+	return value * (ramp(float64(first), lateFrom*aim, lateAt*aim) + t.faultRate(c.Now))
+}
+
+// holdsUp returns how surely the reading of the prompt holds up streams.
+func (c Choice) holdsUp(cached, uncached int64) float64 {
+	if c.Pause <= 0 {
+		return 0
+	}
+	longest := float64(c.Pause)
+	return min(1, ramp(float64(pause(cached, uncached, c.TokensPerEvent)), pauseFrom*longest, pauseAt*longest))
+}
+
+// holdUpCost is how many streams are held up that are not held up already.
+func (t *target) holdUpCost(sure float64, now time.Time) float64 {
+	cost := sure * t.load(now)
+	if now.Before(t.heldUpUntil) {
+		cost *= heldUpCost
+	}
+	return cost
+}
+
+// ramp rises from zero at the first bound to one at the second, and slowly beyond,
+// so that of two bad choices the less bad is taken.
+func ramp(x, from, to float64) float64 {
+	const beyond = 0.05
+	switch {
+	case x <= from:
+		return 0
+	case x < to:
+		return (x - from) / (to - from)
+	default:
+		return 1 + beyond*(x-to)/to
+	}
 }
 
 // engineWait estimates how long a request waits at an engine before it is read.
 func (t *target) engineWait(now time.Time) time.Duration {
-	wait := time.Duration(t.prefilling/readRate) * time.Millisecond
+	wait := max(0, t.busyUntil.Sub(now))
 	wait += time.Duration(float64(t.waiting)*decay(now.Sub(t.reportedAt), reportSpan)) * waitingCost
-	wait = max(wait, t.lateness(now))
-	return wait + time.Duration(t.faultRate(now)*float64(faultCost))
+	return max(wait, t.lateness(now))
 }
 
 // chooseIdle returns a target with the least work for its slots.
@@ -297,23 +396,19 @@
 func (p *Placement) FirstEvent(now time.Time) {
 	p.placer.mutex.Lock()
 	defer p.placer.mutex.Unlock()
-	p.endReading()
+	if !p.waits {
+		return
+	}
+	p.waits = false
 	t := p.target
-	own := float64(p.uncached) / readRate
-	late := max(0, float64(now.Sub(p.sentAt).Milliseconds())-own)
+	late := max(0, float64(now.Sub(p.readAt).Milliseconds()))
+	t.correct(p.readAt, now)
 	const newWeight = 0.5
 	t.firstEventMs = (1-newWeight)*t.firstEventMs*decay(now.Sub(t.firstAt), reportSpan) + newWeight*late
 	t.firstAt = now
 	t.avoidance = 0
 }
 
-func (p *Placement) endReading() {
-	if p.reading {
-		p.reading = false
-		p.target.prefilling -= p.uncached
-	}
-}
-
 // Outcome is how the use of a target ended. It is sealed: Served, Failed,
 // Rejected, Unreachable and Abandoned are its only variants.
 type Outcome interface{ isOutcome() }
@@ -347,8 +442,11 @@
 		return
 	}
 	p.ended = true
-	p.endReading()
 	t := p.target
+	if p.waits && now.Before(p.readAt) {
+		t.unqueue(p.reading)
+	}
+	p.waits = false
 	t.open--
 	switch o.(type) {
 	case Served:
--- a/pkg/state/cataloguer/cataloguer.go
+++ b/pkg/state/cataloguer/cataloguer.go
@@ -67,6 +67,8 @@
 	Timeout time.Duration
 	// Aim is the time to the first byte within which an answer is on time.
 	Aim time.Duration
+	// Pause is the longest pause between events of a stream that is on time.
+	Pause time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	// Shares are the services that the requests go to. Required.
@@ -107,6 +109,9 @@
 // Aim returns the time to the first byte within which an answer is on time.
 func (r Route) Aim() time.Duration { return r.config.Aim }
 
+// Pause returns the longest pause between events of a stream that is on time.
+func (r Route) Pause() time.Duration { return r.config.Pause }
+
 // Priority returns the rank of the route; 0 is the most urgent.
 func (r Route) Priority() int { return r.config.Priority }
 
--- a/pkg/state/journaler/journaler.go
+++ b/pkg/state/journaler/journaler.go
@@ -52,6 +52,8 @@
 	folder string
 	file   *os.File
 	bytes  int64
+	// damaged says that something may follow the first bytes of the file.
+	damaged bool
 }
 
 // Open opens the journal in the folder, which must exist, and returns what it
@@ -84,13 +86,18 @@
 // Bytes returns the size of the journal since its last snapshot.
 func (j *Journal) Bytes() int64 { return j.bytes }
 
-// Append writes the records and returns once they are synced. After an error
-// the journal must not be used any more: what reached the disk is unknown.
+// Append writes the records and returns once they are synced. After an error it
+// is unknown what reached the disk. The same records may be appended again: what
+// is left of the earlier try is cut off first.
 func (j *Journal) Append(records [][]byte) error {
 	buffer, err := frame(records)
 	if err != nil {
 		return err
 	}
+	if err := j.repair(); err != nil {
+		return err
+	}
+	j.damaged = true
 	if _, err := j.file.Write(buffer); err != nil {
 		return errors.Wrap(err, "write journal")
 	}
@@ -98,9 +105,24 @@
 		return errors.Wrap(err, "sync journal")
 	}
 	j.bytes += int64(len(buffer))
+	j.damaged = false
 	return nil
 }
 
+// repair cuts off what an append that failed has left.
+func (j *Journal) repair() error {
+	if !j.damaged {
+		return nil
+	}
+	if err := j.file.Truncate(j.bytes); err != nil {
+		return errors.Wrap(err, "cut failed append off")
+	}
+	if _, err := j.file.Seek(j.bytes, io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek to end of journal")
+	}
+	return errors.Wrap(j.file.Sync(), "sync journal")
+}
+
 // Compact replaces everything by the snapshot and the records that follow it.
 // A crash at any moment leaves either the old contents or the new.
 func (j *Journal) Compact(snapshot []byte, records [][]byte) error {
@@ -124,7 +146,7 @@
 		return err
 	}
 	old := j.file
-	j.file, j.bytes = file, int64(len(buffer))
+	j.file, j.bytes, j.damaged = file, int64(len(buffer)), false
 	if err := old.Close(); err != nil {
 		return errors.Wrap(err, "close old journal")
 	}
