escrower, gateway: witnesses give back what a dead router held in a partition

Ruled out: smaller grants (they refuse in partitions); a time bound alone (it cannot tell a router that spent from one that did not). Grants can be larger since less of them is lost.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -16,6 +16,7 @@
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/escrower"
@@ -197,6 +198,8 @@
 		return messenger.EncodeCatalogue(*g.record.Load())
 	case messenger.LoanRequest:
 		return g.lend(from, body)
+	case messenger.WitnessRequest:
+		return nil, g.witness(from, body)
 	case messenger.LoanReturn:
 		return nil, g.takeBack(from, body)
 	case messenger.ReadingNews:
@@ -291,10 +294,14 @@
 	}
 }
 
+// urgeReport makes the next report, and the next word to the witnesses, go out at
+// once.
 func (g *Gateway) urgeReport() {
-	select {
-	case g.reportNow <- struct{}{}:
-	default:
+	for _, wake := range []chan struct{}{g.reportNow, g.witnessNow} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -307,7 +314,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	data, err := escrower.EncodeReport(g.spender.Report(sentAt, ended))
+	data, err := escrower.EncodeReport(g.spender.Report(spender.ReportConfig{
+		Now: sentAt, Ended: ended, Witnesses: g.chooseWitnesses(), Testimonies: g.testimonies(),
+	}))
 	if err != nil {
 		return err
 	}
@@ -331,6 +340,7 @@
 		return err
 	}
 	g.spender.Take(grants, sentAt)
+	g.askedAbout = grants.Asked()
 	return nil
 }
 
--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -23,9 +23,6 @@
 	minPatience  = 40 * time.Millisecond
 	maxPatience  = 120 * time.Millisecond
 	patiencePart = 0.11
-	// controlSilence is the age of control's newest answer from which on a request
-	// does not wait for the next.
-	controlSilence = 800 * time.Millisecond
 	// Times after which callers should come back whom the grants do not cover.
 	partitionRetry = 300 * time.Millisecond
 	scarceRetry    = 2500 * time.Millisecond
@@ -77,7 +74,7 @@
 	}
 	g := q.gateway
 	verdict := g.spender.Reserve(q.organisation, tokens, time.Now())
-	if short, ok := verdict.(spender.Short); ok && short.AckAge() < controlSilence {
+	if short, ok := verdict.(spender.Short); ok && short.Raisable() {
 		verdict = q.awaitGrant(ctx, tokens)
 	}
 	switch v := verdict.(type) {
@@ -103,13 +100,14 @@
 // while control can grant more, else once a partition may have ended or a budget
 // may have been raised.
 func grantRetry(v spender.Short) time.Duration {
-	if v.AckAge() < controlSilence {
+	if v.Raisable() {
 		return scarceRetry
 	}
 	return partitionRetry
 }
 
-// awaitGrant waits for an answer of control that covers the request.
+// awaitGrant waits for an answer of control, or of the witnesses, that covers the
+// request.
 func (q *request) awaitGrant(ctx context.Context, tokens int64) spender.Verdict {
 	s := q.gateway.spender
 	patience := time.Duration(patiencePart * float64(q.route.Aim()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,17 +67,21 @@
 	spender   *spender.Spender
 	retrier   *retrier.Retrier
 	lenders   *lenders
+	witnesses *witnesses
 
-	catalogue   atomic.Pointer[cataloguer.Catalogue]
-	record      atomic.Pointer[cataloguer.Record]
-	adopting    sync.Mutex
-	fetches     chan *linker.Peer
-	reportNow   chan struct{}
-	routerCount atomic.Int64
-	addresses   atomic.Pointer[[]string]    // of control VMs, as the settings say
-	stallEndsAt atomic.Int64                // Unix time in nanoseconds
-	reporter    atomic.Pointer[linker.Peer] // control VM that answered the last report
-	draining    atomic.Bool
+	catalogue  atomic.Pointer[cataloguer.Catalogue]
+	record     atomic.Pointer[cataloguer.Record]
+	adopting   sync.Mutex
+	fetches    chan *linker.Peer
+	reportNow  chan struct{}
+	witnessNow chan struct{}
+	// chosenWitnesses and askedAbout belong to the goroutine that reports.
+	chosenWitnesses, askedAbout []identifier.Process
+	routerCount                 atomic.Int64
+	addresses                   atomic.Pointer[[]string]    // of control VMs, as the settings say
+	stallEndsAt                 atomic.Int64                // Unix time in nanoseconds
+	reporter                    atomic.Pointer[linker.Peer] // control VM that answered the last report
+	draining                    atomic.Bool
 }
 
 // New returns a gateway that is not running yet.
@@ -94,9 +98,12 @@
 		timeline:  recorder.NewTimeline(c.Settings.VM()),
 		placer:    placer.New(),
 		lenders:   newLenders(),
+		witnesses: newWitnesses(),
 		spender:   spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:   make(chan *linker.Peer, maxQueuedFetches),
 		reportNow: make(chan struct{}, 1),
+
+		witnessNow: make(chan struct{}, 1),
 	}
 	g.meters = newMeters(g.metrics)
 	g.record.Store(&cataloguer.Record{})
@@ -152,6 +159,7 @@
 	running.Go(func() { g.runMembership(serving) })
 	running.Go(func() { g.runFetches(serving) })
 	running.Go(func() { g.runReports(serving) })
+	running.Go(func() { g.runWitnesses(serving) })
 	running.Go(func() { g.runSweeps(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
 	select {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -61,6 +61,9 @@
 	LoanRequest
 	// LoanReturn tells a router what of a loan was spent. Notice.
 	LoanReturn
+	// WitnessRequest tells a router the ceilings of another. Call, answered by
+	// nothing or an error.
+	WitnessRequest
 	// ReadingNews tells routers that a target reads a long prompt. Notice.
 	ReadingNews
 )
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -21,9 +21,17 @@
 const (
 	// ceilingSpan is for how long the announced ceiling lasts at the present
 	// demand. Reports are less than half of that apart.
-	ceilingSpan = 700 * time.Millisecond
+	ceilingSpan = 500 * time.Millisecond
 	// paceRatio is by how much a router that is cut off may exceed its demand.
 	paceRatio = 1.5
+	// witnessedSpan is for how long a ceiling that the witnesses know lasts.
+	witnessedSpan = 1500 * time.Millisecond
+	// witnessLead is how long before a router counts as detached it turns to its
+	// witnesses.
+	witnessLead = 400 * time.Millisecond
+	// controlSilence is the silence of control from which on it is not worth
+	// waiting for its next answer.
+	controlSilence = 800 * time.Millisecond
 	// detachedAfter is the silence of control after which it counts as cut off.
 	detachedAfter = 900 * time.Millisecond
 	// demandSpan is the time constant of the average of the demand.
@@ -48,6 +56,7 @@
 // Short means that the router holds too little. The budget may cover the request.
 type Short struct {
 	detached bool
+	raisable bool
 	held     int64
 	ackAge   time.Duration
 }
@@ -67,6 +76,10 @@
 // use.
 func (s Short) Detached() bool { return s.detached }
 
+// Raisable reports whether control or the witnesses can raise what the router may
+// spend, so that it is worth waiting for a moment.
+func (s Short) Raisable() bool { return s.raisable }
+
 // Held returns how many tokens the router holds unreserved.
 func (s Short) Held() int64 { return s.held }
 
@@ -85,6 +98,7 @@
 	returned  int64
 	ceiling   int64
 	pace      int64
+	witnessed int64 // ceiling that all witnesses know
 	spent     int64
 	reserved  int64
 	remaining int64
@@ -97,12 +111,6 @@
 	reported  int64 // what the last report held as spent
 }
 
-// limit is the total that the router may spend after control has been silent for
-// a time.
-func (a *account) limit(silence time.Duration) int64 {
-	return escrower.Allowance(a.granted-a.returned, a.ceiling, a.pace, silence)
-}
-
 // Config configures a spender.
 type Config struct {
 	// Process is the router process. Required.
@@ -122,6 +130,10 @@
 	ackedAt  time.Time // when the newest answered report was sent
 	changed  chan struct{}
 	urgent   bool
+	// required are the witnesses of the newest report that control has answered
+	// and of all since, since control may have recorded any of them.
+	required []identifier.Process
+	latest   []identifier.Process // witnesses of the newest report
 }
 
 // New returns a spender that holds nothing.
@@ -142,7 +154,7 @@
 	defer s.mutex.Unlock()
 	a := s.account(organisation, now)
 	detached := s.detached(now)
-	available := a.limit(s.silence(now)) - a.spent - a.reserved
+	available := s.limit(a, now) - a.spent - a.reserved
 	if tokens <= available {
 		a.reserved += tokens
 		return Reserved{}
@@ -153,7 +165,10 @@
 	a.want = max(a.want, a.reserved+tokens)
 	a.wantUntil = now.Add(wantLifetime)
 	s.urgent = true
-	return Short{detached, available, s.silence(now)}
+	silence := s.silence(now)
+	unreserved := a.granted - a.returned - a.spent - a.reserved
+	raisable := silence < controlSilence || escrower.Detached(silence) && len(s.required) > 0 && tokens <= unreserved
+	return Short{detached, raisable, available, silence}
 }
 
 // lendPercent is the part of what is free that is reserved in parts for requests
@@ -166,7 +181,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	a := s.account(organisation, now)
-	available := a.limit(s.silence(now)) - a.spent - a.reserved
+	available := s.limit(a, now) - a.spent - a.reserved
 	part := max(0, min(tokens, available*lendPercent/100))
 	a.reserved += part
 	return part
@@ -231,6 +246,52 @@
 	return a
 }
 
+// limit is the total that the router may spend of an account.
+func (s *Spender) limit(a *account, now time.Time) int64 {
+	limit, silence := a.granted-a.returned, s.silence(now)
+	if len(s.required) == 0 || !escrower.Detached(silence) {
+		return escrower.Allowance(limit, a.ceiling, a.pace, silence)
+	}
+	return max(escrower.WitnessedAllowance(limit, a.ceiling, a.pace, silence), min(limit, a.witnessed))
+}
+
+// NextCeilings returns the ceilings that the witnesses should know next, and the
+// witnesses. There are none while control answers.
+func (s *Spender) NextCeilings(now time.Time) ([]escrower.Ceiling, []identifier.Process) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.required) == 0 || !escrower.Detached(s.silence(now)+witnessLead) {
+		return nil, nil
+	}
+	var ceilings []escrower.Ceiling
+	for name := range s.accounts {
+		a := s.account(name, now)
+		ahead := int64(a.demand * witnessedSpan.Seconds())
+		ceiling := min(a.granted-a.returned, a.spent+max(a.reserved+ahead, a.want))
+		if ceiling > a.witnessed {
+			ceilings = append(ceilings, escrower.NewCeiling(escrower.CeilingConfig{Organisation: name, Tokens: ceiling}))
+		}
+	}
+	return ceilings, slices.Clone(s.required)
+}
+
+// Confirm notes that all witnesses know the ceilings.
+func (s *Spender) Confirm(ceilings []escrower.Ceiling) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, c := range ceilings {
+		if a, ok := s.accounts[c.Organisation()]; ok {
+			a.witnessed = max(a.witnessed, c.Tokens())
+		}
+	}
+	s.signal()
+}
+
+func (s *Spender) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Due reports whether a report should be sent.
 func (s *Spender) Due(now time.Time) bool {
 	s.mutex.Lock()
@@ -250,11 +311,29 @@
 	return false
 }
 
-// Report returns the next report to control. The last one of a process says that
-// it has ended.
-func (s *Spender) Report(now time.Time, ended bool) escrower.Report {
+// ReportConfig holds what a report says beside what was spent.
+type ReportConfig struct {
+	// Now is the time. Required.
+	Now time.Time
+	// Ended says that the process ends with this report.
+	Ended bool
+	// Witnesses are the routers that are to know the ceilings of this one.
+	Witnesses []identifier.Process
+	// Testimonies are on routers that have ended.
+	Testimonies []escrower.Testimony
+}
+
+// Report returns the next report to control.
+func (s *Spender) Report(c ReportConfig) escrower.Report {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	now := c.Now
+	s.latest = c.Witnesses
+	for _, process := range c.Witnesses {
+		if !slices.Contains(s.required, process) {
+			s.required = append(s.required, process)
+		}
+	}
 	s.sequence++
 	s.sentAt = now
 	s.urgent = false
@@ -266,7 +345,7 @@
 	var lines []escrower.Line
 	for _, name := range names {
 		a := s.account(name, now)
-		if ended {
+		if c.Ended {
 			a.returned = a.granted - a.spent
 		}
 		a.reported = a.spent
@@ -288,7 +367,8 @@
 	}
 	return escrower.NewReport(escrower.ReportConfig{
 		Router: s.config.Process, Sequence: s.sequence, StartedAt: s.config.StartedAt, SentAt: now,
-		Silence: s.silence(now), Ended: ended, Lines: lines,
+		Silence: s.silence(now), Ended: c.Ended, Lines: lines,
+		Witnesses: c.Witnesses, Testimonies: c.Testimonies,
 	})
 }
 
@@ -300,6 +380,9 @@
 	if sentAt.After(s.ackedAt) {
 		s.ackedAt = sentAt
 	}
+	if isNewest {
+		s.required = slices.Clone(s.latest)
+	}
 	for _, g := range answer.Grants() {
 		a, ok := s.accounts[g.Organisation()]
 		if !ok {
@@ -317,8 +400,7 @@
 			s.urgent = true
 		}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.signal()
 }
 
 // Holding is what a router holds of an organisation's budget, in tokens.
--- a/pkg/state/escrower/codec.go
+++ b/pkg/state/escrower/codec.go
@@ -29,6 +29,49 @@
 	Silence   int64 // milliseconds
 	Ended     bool
 	Lines     []wireLine
+
+	Witnesses   []encoder.WireProcess
+	Testimonies []wireTestimony
+}
+
+type wireCeiling struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Tokens       int64
+}
+
+type wireTestimony struct {
+	_        struct{} `cbor:",toarray"`
+	Process  encoder.WireProcess
+	Ceilings []wireCeiling
+}
+
+func ceilingsToWire(ceilings []Ceiling) []wireCeiling {
+	var wire []wireCeiling
+	for _, c := range ceilings {
+		wire = append(wire, wireCeiling{Organisation: c.config.Organisation, Tokens: c.config.Tokens})
+	}
+	return wire
+}
+
+func ceilingsFromWire(wire []wireCeiling) []Ceiling {
+	var ceilings []Ceiling
+	for _, w := range wire {
+		ceilings = append(ceilings, NewCeiling(CeilingConfig{w.Organisation, w.Tokens}))
+	}
+	return ceilings
+}
+
+// EncodeCeilings returns the CBOR form of what a router tells its witnesses.
+func EncodeCeilings(ceilings []Ceiling) ([]byte, error) {
+	return encoder.Marshal(ceilingsToWire(ceilings))
+}
+
+// DecodeCeilings is the inverse of EncodeCeilings.
+func DecodeCeilings(data []byte) ([]Ceiling, error) {
+	var wire []wireCeiling
+	err := encoder.Unmarshal(data, &wire)
+	return ceilingsFromWire(wire), err
 }
 
 type wireGrant struct {
@@ -45,6 +88,7 @@
 	_        struct{} `cbor:",toarray"`
 	Sequence uint64
 	Grants   []wireGrant
+	Asked    []encoder.WireProcess
 }
 
 // EncodeReport returns the CBOR form of a report.
@@ -55,6 +99,12 @@
 		StartedAt: c.StartedAt.UnixMilli(), SentAt: c.SentAt.UnixMilli(),
 		Silence: c.Silence.Milliseconds(), Ended: c.Ended,
 	}
+	w.Witnesses = encoder.ProcessesToWire(c.Witnesses)
+	for _, t := range c.Testimonies {
+		w.Testimonies = append(w.Testimonies, wireTestimony{
+			Process: encoder.ProcessToWire(t.process), Ceilings: ceilingsToWire(t.ceilings),
+		})
+	}
 	for _, line := range c.Lines {
 		l := line.config
 		w.Lines = append(w.Lines, wireLine{
@@ -75,6 +125,10 @@
 		StartedAt: time.UnixMilli(w.StartedAt), SentAt: time.UnixMilli(w.SentAt),
 		Silence: time.Duration(w.Silence) * time.Millisecond, Ended: w.Ended,
 	}
+	c.Witnesses = encoder.ProcessesFromWire(w.Witnesses)
+	for _, t := range w.Testimonies {
+		c.Testimonies = append(c.Testimonies, NewTestimony(encoder.ProcessFromWire(t.Process), ceilingsFromWire(t.Ceilings)))
+	}
 	for _, l := range w.Lines {
 		c.Lines = append(c.Lines, NewLine(LineConfig{
 			Organisation: l.Organisation, Spent: l.Spent, Returned: l.Returned, Ceiling: l.Ceiling, Pace: l.Pace, Want: l.Want, Demand: l.Demand,
@@ -85,7 +139,7 @@
 
 // EncodeAnswer returns the CBOR form of an answer.
 func EncodeAnswer(a Answer) ([]byte, error) {
-	w := wireAnswer{Sequence: a.sequence}
+	w := wireAnswer{Sequence: a.sequence, Asked: encoder.ProcessesToWire(a.asked)}
 	for _, g := range a.grants {
 		w.Grants = append(w.Grants, wireGrant{
 			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Pace: g.pace, Keep: g.keep, Remaining: g.remaining,
@@ -100,7 +154,7 @@
 	if err := encoder.Unmarshal(data, &w); err != nil {
 		return Answer{}, err
 	}
-	a := Answer{sequence: w.Sequence}
+	a := Answer{sequence: w.Sequence, asked: encoder.ProcessesFromWire(w.Asked)}
 	for _, g := range w.Grants {
 		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Pace, g.Keep, g.Remaining})
 	}
@@ -135,12 +189,29 @@
 	LastAt     int64 // Unix time in milliseconds
 	LastSentAt int64 // as above
 	Silence    int64 // milliseconds
+	Witnesses  []encoder.WireProcess
+}
+
+type wireCharge struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Spent        int64
+	Floor        int64
+	Charged      int64
+}
+
+type wireClaim struct {
+	_         struct{} `cbor:",toarray"`
+	Process   encoder.WireProcess
+	Witnesses []encoder.WireProcess
+	Charges   []wireCharge
 }
 
 type wireLedger struct {
 	_        struct{} `cbor:",toarray"`
 	Accounts []wireAccount
 	Routers  []wireRouter
+	Claims   []wireClaim
 }
 
 // Snapshot returns the CBOR form of the ledger.
@@ -163,8 +234,18 @@
 		w.Routers = append(w.Routers, wireRouter{
 			Process: encoder.ProcessToWire(r.process), Sequence: r.sequence,
 			LastAt: r.lastAt.UnixMilli(), LastSentAt: r.lastSentAt.UnixMilli(), Silence: r.silence.Milliseconds(),
+			Witnesses: encoder.ProcessesToWire(r.witnesses),
 		})
 	}
+	for _, c := range l.claims {
+		wc := wireClaim{Process: encoder.ProcessToWire(c.process), Witnesses: encoder.ProcessesToWire(c.witnesses)}
+		for _, part := range c.charges {
+			wc.Charges = append(wc.Charges, wireCharge{
+				Organisation: part.organisation, Spent: part.spent, Floor: part.floor, Charged: part.charged,
+			})
+		}
+		w.Claims = append(w.Claims, wc)
+	}
 	return encoder.Marshal(w)
 }
 
@@ -193,7 +274,15 @@
 		process := encoder.ProcessFromWire(r.Process)
 		l.routers[process.VM()] = &router{
 			process, r.Sequence, time.UnixMilli(r.LastAt), time.UnixMilli(r.LastSentAt), time.Duration(r.Silence) * time.Millisecond,
+			encoder.ProcessesFromWire(r.Witnesses),
+		}
+	}
+	for _, wc := range w.Claims {
+		c := claim{process: encoder.ProcessFromWire(wc.Process), witnesses: encoder.ProcessesFromWire(wc.Witnesses)}
+		for _, part := range wc.Charges {
+			c.charges = append(c.charges, charge{part.Organisation, part.Spent, part.Floor, part.Charged})
 		}
+		l.claims = append(l.claims, c)
 	}
 	return l, nil
 }
--- a/pkg/state/escrower/escrower.go
+++ b/pkg/state/escrower/escrower.go
@@ -13,7 +13,9 @@
 // the ledger has recorded. It spends up to the ceiling and, while answers of
 // control are missing, goes beyond it at that pace for a while (Allowance).
 // So the ledger charges a router that has died with what it can have spent until
-// its successor started, and not with its whole grant.
+// its successor started, and not with its whole grant. A router that is cut off
+// for longer tells its ceilings to witnesses, which are other routers, before it
+// spends up to them; once it has died one of them can tell the ledger.
 //
 // A Ledger is a deterministic state machine without a clock. Reports hold totals,
 // so that one that comes late or twice does no harm.
@@ -42,13 +44,13 @@
 
 	// grantedPercent is the part of what is unspent that routers may hold. The
 	// rest serves routers whose demand has just risen.
-	grantedPercent = 85
+	grantedPercent = 92
 	// floorPercent of that is granted whatever the demand was, since the prepaid
 	// total itself tells what an organisation expects to use.
-	floorPercent = 50
+	floorPercent = 60
 	// grantHorizon bounds a grant by the router's demand: a partition that lasts
 	// longer than that is rare, and what a dead router holds is lost.
-	grantHorizon = 10 * time.Second
+	grantHorizon = 15 * time.Second
 	// idleParts is into how many parts a prepaid total is cut for routers while
 	// none of them has reported a demand.
 	idleParts = 64
@@ -110,6 +112,11 @@
 	Silence time.Duration
 	// Ended says that the router spends nothing any more.
 	Ended bool
+	// Witnesses are the routers that know the ceilings of this one while it is cut
+	// off. Without any it may then spend its whole grant.
+	Witnesses []identifier.Process
+	// Testimonies are on routers that have ended.
+	Testimonies []Testimony
 	// Lines are the organisations that the router uses.
 	Lines []Line
 }
@@ -163,6 +170,7 @@
 	sequence uint64
 	grants   []Grant
 	retired  *Retirement
+	asked    []identifier.Process
 }
 
 // Retirement is what became of the grants of a process that a newer incarnation
@@ -198,6 +206,9 @@
 // Sequence returns the sequence of the report that is answered.
 func (a Answer) Sequence() uint64 { return a.sequence }
 
+// Asked returns the ended routers on which the router can testify.
+func (a Answer) Asked() []identifier.Process { return a.asked }
+
 // Grants returns a grant for each line of the report whose organisation exists.
 func (a Answer) Grants() []Grant { return a.grants }
 
@@ -296,12 +307,14 @@
 	lastAt     time.Time
 	lastSentAt time.Time
 	silence    time.Duration
+	witnesses  []identifier.Process
 }
 
 // Ledger holds all accounts. It is not safe for concurrent use.
 type Ledger struct {
 	accounts map[string]*account
 	routers  map[string]*router
+	claims   []claim
 }
 
 // New returns an empty ledger.
@@ -330,6 +343,7 @@
 	isNew := c.Sequence > current.sequence
 	if isNew {
 		current.sequence, current.lastAt, current.lastSentAt, current.silence = c.Sequence, at, c.SentAt, c.Silence
+		current.witnesses = c.Witnesses
 	}
 	for _, line := range c.Lines {
 		a, ok := l.accounts[line.config.Organisation]
@@ -352,6 +366,10 @@
 			remaining:    a.unspent() + a.writtenOff,
 		})
 	}
+	for _, testimony := range c.Testimonies {
+		l.testify(c.Router, testimony)
+	}
+	answer.asked = l.asked(c.Router)
 	if c.Ended {
 		l.end(c.Router)
 	}
@@ -375,12 +393,24 @@
 	return current, nil
 }
 
+// Detached reports whether control has been silent for so long that a router
+// spends beyond its allowance.
+func Detached(silence time.Duration) bool { return silence >= detachment }
+
 // Allowance returns the total that a router with a grant may spend after control
 // has been silent for a time.
 func Allowance(limit, ceiling, pace int64, silence time.Duration) int64 {
 	if silence >= detachment {
 		return limit
 	}
+	return WitnessedAllowance(limit, ceiling, pace, silence)
+}
+
+// WitnessedAllowance returns the total that a router may spend without asking its
+// witnesses. However long control is silent, it grows no further than it does
+// before a router counts as detached.
+func WitnessedAllowance(limit, ceiling, pace int64, silence time.Duration) int64 {
+	silence = min(silence, detachment)
 	beyond := max(0, silence-grace)
 	return min(limit, ceiling+int64(float64(pace)*beyond.Seconds()))
 }
@@ -391,20 +421,27 @@
 	age := successor.SentAt.Sub(successor.StartedAt)
 	byControl := at.Sub(old.lastAt) - age
 	byRouter := successor.StartedAt.Sub(old.lastSentAt)
+	pending := claim{process: old.process, witnesses: old.witnesses}
 	r := &Retirement{process: old.process, gap: max(byControl, byRouter, 0) + old.silence}
-	for _, a := range l.accounts {
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
 		h, ok := a.holders[old.process]
 		if !ok {
 			continue
 		}
-		charge := max(h.spent, Allowance(h.limit(), h.ceiling, h.pace, r.gap+clockMargin))
+		charged := max(h.spent, Allowance(h.limit(), h.ceiling, h.pace, r.gap+clockMargin))
+		floor := max(h.spent, WitnessedAllowance(h.limit(), h.ceiling, h.pace, r.gap+clockMargin))
+		if floor < charged && len(old.witnesses) > 0 {
+			pending.charges = append(pending.charges, charge{name, h.spent, floor, charged})
+		}
 		a.ended += h.spent
-		a.writtenOff += charge - h.spent
+		a.writtenOff += charged - h.spent
 		r.spent += h.spent
-		r.charged += charge - h.spent
-		r.released += h.limit() - charge
+		r.charged += charged - h.spent
+		r.released += h.limit() - charged
 		a.drop(old.process, h)
 	}
+	l.addClaim(pending)
 	return r
 }
 
--- a/pkg/state/escrower/escrower_test.go
+++ b/pkg/state/escrower/escrower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,11 @@
 	pace      int64
 	spent     int64
 	ackedAt   time.Time
-	alive     bool
+	witnessed int64
+	required  []identifier.Process
+	latest    []identifier.Process
+	asked     []identifier.Process
+	notes     map[identifier.Process]int64 // what it knows as a witness
 }
 
 func (r *fakeRouter) silence(now time.Time) time.Duration {
@@ -36,15 +41,49 @@
 }
 
 func (r *fakeRouter) limit(now time.Time) int64 {
-	return escrower.Allowance(r.granted-r.returned, r.ceiling, r.pace, r.silence(now))
+	limit, silence := r.granted-r.returned, r.silence(now)
+	if len(r.required) == 0 || !escrower.Detached(silence) {
+		return escrower.Allowance(limit, r.ceiling, r.pace, silence)
+	}
+	return max(escrower.WitnessedAllowance(limit, r.ceiling, r.pace, silence), min(limit, r.witnessed))
+}
+
+// tellWitnesses raises the witnessed ceiling if all witnesses are alive. A witness
+// may learn of it although another does not.
+func (r *fakeRouter) tellWitnesses(routers []*fakeRouter, ceiling int64) {
+	told := 0
+	for _, process := range r.required {
+		for _, other := range routers {
+			if other.process == process {
+				other.notes[r.process] = max(other.notes[r.process], ceiling)
+				told++
+			}
+		}
+	}
+	if told == len(r.required) {
+		r.witnessed = max(r.witnessed, ceiling)
+	}
 }
 
-func (r *fakeRouter) report(now time.Time, ceiling, pace, want, demand int64) escrower.Report {
+func (r *fakeRouter) report(now time.Time, ceiling, pace, want, demand int64, witnesses ...identifier.Process) escrower.Report {
 	r.sequence++
+	r.latest = witnesses
+	for _, process := range witnesses {
+		if !slices.Contains(r.required, process) {
+			r.required = append(r.required, process)
+		}
+	}
+	var testimonies []escrower.Testimony
+	for _, process := range r.asked {
+		testimonies = append(testimonies, escrower.NewTestimony(process, []escrower.Ceiling{
+			escrower.NewCeiling(escrower.CeilingConfig{Organisation: organisation, Tokens: r.notes[process]}),
+		}))
+	}
 	ceiling = r.spent + ceiling
 	r.ceiling, r.pace = min(r.ceiling, ceiling), min(r.pace, pace)
 	return escrower.NewReport(escrower.ReportConfig{
 		Router: r.process, Sequence: r.sequence, StartedAt: r.startedAt, SentAt: now, Silence: r.silence(now),
+		Witnesses: witnesses, Testimonies: testimonies,
 		Lines: []escrower.Line{escrower.NewLine(escrower.LineConfig{
 			Organisation: organisation, Spent: r.spent, Returned: r.returned, Ceiling: ceiling, Pace: pace, Want: want, Demand: demand,
 		})},
@@ -55,12 +94,16 @@
 	if sentAt.After(r.ackedAt) {
 		r.ackedAt = sentAt
 	}
+	r.asked = a.Asked()
+	if a.Sequence() == r.sequence {
+		r.required = slices.Clone(r.latest)
+	}
 	for _, g := range a.Grants() {
 		r.granted = max(r.granted, g.Granted())
 		if a.Sequence() == r.sequence {
 			r.ceiling, r.pace = g.Ceiling(), g.Pace()
 		}
-		if excess := r.granted - r.returned - max(r.spent, r.ceiling) - g.Keep(); excess > 0 {
+		if excess := r.granted - r.returned - max(r.spent, r.ceiling, r.witnessed) - g.Keep(); excess > 0 {
 			r.returned += excess
 		}
 	}
@@ -80,7 +123,8 @@
 		start := func(i int) {
 			incarnation++
 			routers[i] = &fakeRouter{
-				process: identifier.NewProcess(fmt.Sprintf("router-%d", i), incarnation), startedAt: now, alive: true,
+				process: identifier.NewProcess(fmt.Sprintf("router-%d", i), incarnation), startedAt: now,
+				notes: map[identifier.Process]int64{},
 			}
 		}
 		for i := range routers {
@@ -91,14 +135,24 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "elapsed")) * time.Millisecond)
 			i := rapid.IntRange(0, len(routers)-1).Draw(t, "router")
 			r := routers[i]
-			switch rapid.SampledFrom([]string{"spend", "spend", "report", "report", "lose", "delay", "deliver", "restart", "topUp", "snapshot"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{
+				"spend", "spend", "report", "report", "deliver", "restart", "topUp", "snapshot", "witness", "silence",
+			}).Draw(t, "step") {
 			case "spend":
 				if room := r.limit(now) - r.spent; room > 0 {
 					r.spent += rapid.Int64Range(0, room).Draw(t, "tokens")
 				}
-			case "report", "lose", "delay":
+			case "silence":
+				now = now.Add(4 * time.Second)
+			case "witness":
+				if escrower.Detached(r.silence(now)) {
+					r.tellWitnesses(routers, min(r.granted-r.returned, r.spent+rapid.Int64Range(0, 20_000).Draw(t, "ceiling")))
+				}
+			case "report":
+				chosen := []identifier.Process{routers[(i+1)%len(routers)].process, routers[(i+2)%len(routers)].process}
+				chosen = chosen[:rapid.IntRange(0, 2).Draw(t, "witnesses")]
 				report := r.report(now, rapid.Int64Range(0, 20_000).Draw(t, "ceiling"), rapid.Int64Range(0, 20_000).Draw(t, "pace"),
-					rapid.Int64Range(0, 30_000).Draw(t, "want"), rapid.Int64Range(0, 10_000).Draw(t, "demand"))
+					rapid.Int64Range(0, 30_000).Draw(t, "want"), rapid.Int64Range(0, 10_000).Draw(t, "demand"), chosen...)
 				if rapid.Bool().Draw(t, "late") {
 					late = append(late, report)
 					continue
@@ -201,3 +255,45 @@
 		t.Fatal("a replaced process got a grant")
 	}
 }
+
+// Guards: what a router held that died while it was cut off comes back, but for
+// what its witnesses knew it might spend.
+func TestWitnessReleasesTheGrantOfADeadRouter(t *testing.T) {
+	const prepaid = 1_000_000
+	ledger := escrower.New()
+	ledger.SetPrepaid(organisation, prepaid)
+	now := time.Unix(1_800_000_000, 0)
+	newRouter := func(vm string, incarnation uint64) *fakeRouter {
+		return &fakeRouter{
+			process: identifier.NewProcess(vm, incarnation), startedAt: now, notes: map[identifier.Process]int64{},
+		}
+	}
+	apply := func(r *fakeRouter, report escrower.Report) {
+		answer, err := ledger.Apply(report, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.take(answer, now)
+	}
+	witness, r := newRouter("witness", 1), newRouter("router", 1)
+	for range 3 {
+		apply(r, r.report(now, 7_000, 15_000, 0, 10_000, witness.process))
+		apply(witness, witness.report(now, 0, 0, 0, 0))
+		now = now.Add(250 * time.Millisecond)
+	}
+	now = now.Add(5 * time.Second)
+	r.tellWitnesses([]*fakeRouter{witness, r}, 60_000)
+	r.spent = r.limit(now)
+	if r.spent < 55_000 {
+		t.Fatalf("spent %d, want what the witness knows", r.spent)
+	}
+	successor := newRouter("router", 2)
+	apply(successor, successor.report(now, 0, 0, 0, 0))
+	before := ledger.Statements()[0].WrittenOff()
+	apply(witness, witness.report(now, 0, 0, 0, 0))
+	apply(witness, witness.report(now, 0, 0, 0, 0))
+	after := ledger.Statements()[0].WrittenOff()
+	if after < r.spent || after > 70_000 || after >= before {
+		t.Fatalf("written off %d, then %d; spent %d", before, after, r.spent)
+	}
+}
