gateway, escrower: lenders that all routers share

Cause: on the grown deployment each of 126 routers holds little of each budget and has links to few others, so loans failed in partitions; lenders did not raise their ceilings for what they were asked. Change: the same 24 routers are lenders for all others and hold 40 in 100 of what is granted; their ceilings and paces follow what they may be asked for; only prompts of 60 ms and more are told.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -30,9 +30,8 @@
 	membershipInterval = 500 * time.Millisecond
 	presenceInterval   = 5 * time.Second
 	presenceLease      = 20 * time.Second
-	// linkedRouters is how many other routers each router keeps a link to. As many
-	// again keep one to it.
-	linkedRouters = 8
+	// linkedRouters is how many routers all others keep a link to.
+	linkedRouters = 24
 	// stallGrace is how long the leases of targets do not count after links to
 	// control have come back, until announcements have arrived again.
 	stallGrace = 3 * time.Second
@@ -116,25 +115,32 @@
 		}
 	}
 	g.routerCount.Store(max(1, int64(len(routers))))
-	addresses = append(addresses, g.peerAddresses(routers)...)
+	addresses = append(addresses, g.lenderAddresses(routers)...)
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
 
-// peerAddresses chooses the routers to keep links to. The choice by hash spreads
-// the links evenly and changes little when routers come and go (rendezvous
-// hashing; Thaler and Ravishankar, 1998).
-func (g *Gateway) peerAddresses(routers []disseminator.Entry) []string {
-	own := g.process.VM()
+// lenderAddresses returns the routers that all others keep links to and ask to
+// spend for them, and notes whether this router is one. All routers find the same
+// ones, and few change when routers come and go (rendezvous hashing; Thaler and
+// Ravishankar, 1998).
+func (g *Gateway) lenderAddresses(routers []disseminator.Entry) []string {
 	slices.SortFunc(routers, func(a, b disseminator.Entry) int {
-		return cmp.Compare(pairWeight(own, b.Key()), pairWeight(own, a.Key()))
+		return cmp.Compare(pairWeight("", b.Key()), pairWeight("", a.Key()))
 	})
 	var addresses []string
-	for _, e := range routers {
-		if e.Key() != gatewayPrefix+own && len(addresses) < linkedRouters {
-			addresses = append(addresses, string(e.Value()))
+	lender := false
+	vms := map[string]bool{}
+	for _, e := range routers[:min(len(routers), linkedRouters)] {
+		vms[strings.TrimPrefix(e.Key(), gatewayPrefix)] = true
+		if e.Key() == gatewayPrefix+g.process.VM() {
+			lender = true
+			continue
 		}
+		addresses = append(addresses, string(e.Value()))
 	}
+	g.lender.Store(lender)
+	g.lenderVMs.Store(&vms)
 	return addresses
 }
 
@@ -146,7 +152,18 @@
 
 func (g *Gateway) controlPeers() []*linker.Peer { return g.peersOf(linker.Control) }
 
-func (g *Gateway) gatewayPeers() []*linker.Peer { return g.peersOf(linker.Router) }
+// lenderPeers returns the lenders with a live link. A lender also has links to all
+// other routers, which it does not use by itself.
+func (g *Gateway) lenderPeers() []*linker.Peer {
+	vms := *g.lenderVMs.Load()
+	var lenders []*linker.Peer
+	for _, p := range g.peersOf(linker.Router) {
+		if vms[p.Identity().Process().VM()] {
+			lenders = append(lenders, p)
+		}
+	}
+	return lenders
+}
 
 func (g *Gateway) peersOf(role linker.Role) []*linker.Peer {
 	var peers []*linker.Peer
@@ -315,7 +332,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	data, err := escrower.EncodeReport(g.spender.Report(spender.ReportConfig{
-		Now: sentAt, Ended: ended, Witnesses: g.chooseWitnesses(), Testimonies: g.testimonies(),
+		Now: sentAt, Ended: ended, Witnesses: g.chooseWitnesses(), Testimonies: g.testimonies(), Lender: g.lender.Load(),
 	}))
 	if err != nil {
 		return err
@@ -355,7 +372,7 @@
 
 // minToldReading is how long a target must read a prompt for other routers to be
 // told. Shorter ones hold nobody up.
-const minToldReading = 25 * time.Millisecond
+const minToldReading = 60 * time.Millisecond
 
 // tellReading tells other routers that a target is busy with a long prompt. Its
 // own reports come too late for those who place requests in the same moment.
@@ -368,7 +385,7 @@
 		g.log.Warn("reading not encoded", recorder.Err(err))
 		return
 	}
-	for _, peer := range g.gatewayPeers() {
+	for _, peer := range g.lenderPeers() {
 		if err := peer.Notify(messenger.ReadingNews, data); err != nil {
 			g.log.Debug("router not told of a long prompt", zap.Stringer("peer", peer.Identity().Process()), recorder.Err(err))
 		}
--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	f := funding{organisation: q.organisation, own: g.spender.ReservePart(q.organisation, tokens, time.Now())}
-	peers := g.gatewayPeers()
+	peers := g.lenderPeers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), maxLenders)] {
 		if f.total() >= tokens || ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	addresses                   atomic.Pointer[[]string]    // of control VMs, as the settings say
 	stallEndsAt                 atomic.Int64                // Unix time in nanoseconds
 	reporter                    atomic.Pointer[linker.Peer] // control VM that answered the last report
+	lender                      atomic.Bool                 // whether other routers ask this one to spend for them
+	lenderVMs                   atomic.Pointer[map[string]bool]
 	draining                    atomic.Bool
 }
 
@@ -116,6 +118,7 @@
 		window = defaultWindow
 	}
 	g.routerCount.Store(1)
+	g.lenderVMs.Store(&map[string]bool{})
 	g.retrier = retrier.New(retrier.Config{
 		Ratio: retries.Ratio(), Minimum: retries.Minimum(), Window: window,
 		Routers: func() int { return int(g.routerCount.Load()) },
--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -79,7 +79,7 @@
 // the same as before while there are links to them.
 func (g *Gateway) chooseWitnesses() []identifier.Process {
 	var linked []identifier.Process
-	for _, p := range g.gatewayPeers() {
+	for _, p := range g.lenderPeers() {
 		linked = append(linked, p.Identity().Process())
 	}
 	var chosen []identifier.Process
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -24,8 +24,14 @@
 	ceilingSpan = 500 * time.Millisecond
 	// paceRatio is by how much a router that is cut off may exceed its demand.
 	paceRatio = 1.5
+	// lendingSpan is in how long a lender may lend its whole grant while control is
+	// silent.
+	lendingSpan = 30 * time.Second
 	// witnessedSpan is for how long a ceiling that the witnesses know lasts.
 	witnessedSpan = 1500 * time.Millisecond
+	// witnessedParts is into how many steps a grant is cut for which the witnesses
+	// are told at the least, since a lender cannot know what it will be asked for.
+	witnessedParts = 8
 	// witnessLead is how long before a router counts as detached it turns to its
 	// witnesses.
 	witnessLead = 400 * time.Millisecond
@@ -183,6 +189,10 @@
 	a := s.account(organisation, now)
 	available := s.limit(a, now) - a.spent - a.reserved
 	part := max(0, min(tokens, available*lendPercent/100))
+	if part < tokens {
+		a.want = max(a.want, a.reserved+tokens)
+		a.wantUntil = now.Add(wantLifetime)
+	}
 	a.reserved += part
 	return part
 }
@@ -266,7 +276,8 @@
 	var ceilings []escrower.Ceiling
 	for name := range s.accounts {
 		a := s.account(name, now)
-		ahead := int64(a.demand * witnessedSpan.Seconds())
+		held := a.granted - a.returned - a.spent
+		ahead := max(int64(a.demand*witnessedSpan.Seconds()), held/witnessedParts)
 		ceiling := min(a.granted-a.returned, a.spent+max(a.reserved+ahead, a.want))
 		if ceiling > a.witnessed {
 			ceilings = append(ceilings, escrower.NewCeiling(escrower.CeilingConfig{Organisation: name, Tokens: ceiling}))
@@ -321,6 +332,8 @@
 	Witnesses []identifier.Process
 	// Testimonies are on routers that have ended.
 	Testimonies []escrower.Testimony
+	// Lender says that other routers ask this one to spend for them.
+	Lender bool
 }
 
 // Report returns the next report to control.
@@ -351,6 +364,9 @@
 		a.reported = a.spent
 		ahead := int64(a.demand * ceilingSpan.Seconds())
 		pace := int64(a.demand * paceRatio)
+		if c.Lender {
+			pace += int64(float64(a.granted-a.returned-a.spent) / lendingSpan.Seconds())
+		}
 		ceiling := a.spent + max(a.reserved+ahead, a.want)
 		// What is lower holds at once, since the answer that confirms it may be lost.
 		a.pace = min(a.pace, pace)
@@ -368,7 +384,7 @@
 	return escrower.NewReport(escrower.ReportConfig{
 		Router: s.config.Process, Sequence: s.sequence, StartedAt: s.config.StartedAt, SentAt: now,
 		Silence: s.silence(now), Ended: c.Ended, Lines: lines,
-		Witnesses: c.Witnesses, Testimonies: c.Testimonies,
+		Witnesses: c.Witnesses, Testimonies: c.Testimonies, Lender: c.Lender,
 	})
 }
 
--- a/pkg/state/escrower/codec.go
+++ b/pkg/state/escrower/codec.go
@@ -32,6 +32,7 @@
 
 	Witnesses   []encoder.WireProcess
 	Testimonies []wireTestimony
+	Lender      bool
 }
 
 type wireCeiling struct {
@@ -99,7 +100,7 @@
 		StartedAt: c.StartedAt.UnixMilli(), SentAt: c.SentAt.UnixMilli(),
 		Silence: c.Silence.Milliseconds(), Ended: c.Ended,
 	}
-	w.Witnesses = encoder.ProcessesToWire(c.Witnesses)
+	w.Witnesses, w.Lender = encoder.ProcessesToWire(c.Witnesses), c.Lender
 	for _, t := range c.Testimonies {
 		w.Testimonies = append(w.Testimonies, wireTestimony{
 			Process: encoder.ProcessToWire(t.process), Ceilings: ceilingsToWire(t.ceilings),
@@ -125,7 +126,7 @@
 		StartedAt: time.UnixMilli(w.StartedAt), SentAt: time.UnixMilli(w.SentAt),
 		Silence: time.Duration(w.Silence) * time.Millisecond, Ended: w.Ended,
 	}
-	c.Witnesses = encoder.ProcessesFromWire(w.Witnesses)
+	c.Witnesses, c.Lender = encoder.ProcessesFromWire(w.Witnesses), w.Lender
 	for _, t := range w.Testimonies {
 		c.Testimonies = append(c.Testimonies, NewTestimony(encoder.ProcessFromWire(t.Process), ceilingsFromWire(t.Ceilings)))
 	}
@@ -190,6 +191,7 @@
 	LastSentAt int64 // as above
 	Silence    int64 // milliseconds
 	Witnesses  []encoder.WireProcess
+	Lender     bool
 }
 
 type wireCharge struct {
@@ -234,7 +236,7 @@
 		w.Routers = append(w.Routers, wireRouter{
 			Process: encoder.ProcessToWire(r.process), Sequence: r.sequence,
 			LastAt: r.lastAt.UnixMilli(), LastSentAt: r.lastSentAt.UnixMilli(), Silence: r.silence.Milliseconds(),
-			Witnesses: encoder.ProcessesToWire(r.witnesses),
+			Witnesses: encoder.ProcessesToWire(r.witnesses), Lender: r.lender,
 		})
 	}
 	for _, c := range l.claims {
@@ -272,10 +274,14 @@
 	}
 	for _, r := range w.Routers {
 		process := encoder.ProcessFromWire(r.Process)
-		l.routers[process.VM()] = &router{
-			process, r.Sequence, time.UnixMilli(r.LastAt), time.UnixMilli(r.LastSentAt), time.Duration(r.Silence) * time.Millisecond,
-			encoder.ProcessesFromWire(r.Witnesses),
+		restored := &router{
+			process: process, sequence: r.Sequence,
+			lastAt: time.UnixMilli(r.LastAt), lastSentAt: time.UnixMilli(r.LastSentAt),
+			silence:   time.Duration(r.Silence) * time.Millisecond,
+			witnesses: encoder.ProcessesFromWire(r.Witnesses),
 		}
+		l.setLender(restored, r.Lender)
+		l.routers[process.VM()] = restored
 	}
 	for _, wc := range w.Claims {
 		c := claim{process: encoder.ProcessFromWire(wc.Process), witnesses: encoder.ProcessesFromWire(wc.Witnesses)}
--- a/pkg/state/escrower/escrower.go
+++ b/pkg/state/escrower/escrower.go
@@ -50,13 +50,14 @@
 	floorPercent = 60
 	// grantHorizon bounds a grant by the router's demand: a partition that lasts
 	// longer than that is rare, and what a dead router holds is lost.
-	grantHorizon = 15 * time.Second
+	grantHorizon = 22 * time.Second
 	// idleParts is into how many parts a prepaid total is cut for routers while
 	// none of them has reported a demand.
 	idleParts = 64
-	// evenPercent of the mean demand is added to the demand of each router, since
-	// the demand of one router for a small organisation is mostly chance.
-	evenPercent = 60
+	// pooledPercent of a budget is held by lenders in equal parts, and the rest by
+	// all routers in proportion to their demand, which for a small organisation is
+	// mostly chance.
+	pooledPercent = 40
 	// keepPercent of its share is what a router may keep before it is asked to
 	// return the rest.
 	keepPercent = 130
@@ -117,6 +118,8 @@
 	Witnesses []identifier.Process
 	// Testimonies are on routers that have ended.
 	Testimonies []Testimony
+	// Lender says that other routers ask this one to spend for them.
+	Lender bool
 	// Lines are the organisations that the router uses.
 	Lines []Line
 }
@@ -308,6 +311,7 @@
 	lastSentAt time.Time
 	silence    time.Duration
 	witnesses  []identifier.Process
+	lender     bool
 }
 
 // Ledger holds all accounts. It is not safe for concurrent use.
@@ -315,6 +319,7 @@
 	accounts map[string]*account
 	routers  map[string]*router
 	claims   []claim
+	lenders  int64
 }
 
 // New returns an empty ledger.
@@ -344,6 +349,7 @@
 	if isNew {
 		current.sequence, current.lastAt, current.lastSentAt, current.silence = c.Sequence, at, c.SentAt, c.Silence
 		current.witnesses = c.Witnesses
+		l.setLender(current, c.Lender)
 	}
 	for _, line := range c.Lines {
 		a, ok := l.accounts[line.config.Organisation]
@@ -352,7 +358,7 @@
 		}
 		h := a.holder(c.Router)
 		a.change(h, func() { h.take(line.config, isNew) })
-		amount := l.topUp(a, h)
+		amount := l.topUp(a, h, current)
 		a.change(h, func() { h.granted += amount })
 		if isNew {
 			h.ceiling = min(max(h.spent, line.config.Ceiling), h.limit())
@@ -362,7 +368,7 @@
 			granted:      h.granted,
 			ceiling:      h.ceiling,
 			pace:         h.pace,
-			keep:         l.keep(a, h),
+			keep:         l.keep(a, h, current),
 			remaining:    a.unspent() + a.writtenOff,
 		})
 	}
@@ -376,6 +382,17 @@
 	return answer, nil
 }
 
+func (l *Ledger) setLender(r *router, lender bool) {
+	if r.lender != lender {
+		if lender {
+			l.lenders++
+		} else {
+			l.lenders--
+		}
+	}
+	r.lender = lender
+}
+
 // admit makes the reporting process the current one of its VM.
 func (l *Ledger) admit(c ReportConfig, at time.Time, answer *Answer) (*router, error) {
 	current, ok := l.routers[c.Router.VM()]
@@ -388,6 +405,9 @@
 	if ok {
 		answer.retired = l.retire(current, c, at)
 	}
+	if ok {
+		l.setLender(current, false)
+	}
 	current = &router{process: c.Router}
 	l.routers[c.Router.VM()] = current
 	return current, nil
@@ -473,22 +493,28 @@
 }
 
 // share is what the router should hold unspent.
-func (l *Ledger) share(a *account, h *holder) int64 {
-	demand := a.sums.demand
-	routers := max(int64(len(l.routers)), 1)
-	base := demand*evenPercent/100/routers + 1
-	available := a.unspent() * grantedPercent / 100
-	share := scale(available, h.demand+base, demand+base*routers)
-	if demand == 0 {
-		return max(min(share, a.prepaid/idleParts), h.want)
+func (l *Ledger) share(a *account, h *holder, r *router) int64 {
+	if a.sums.demand == 0 {
+		if !r.lender {
+			return h.want
+		}
+		return max(min(a.unspent()/max(l.lenders, 1), a.prepaid/idleParts), h.want)
+	}
+	weight := h.demand
+	if l.lenders > 0 {
+		weight = h.demand * (100 - pooledPercent) / 100
+		if r.lender {
+			weight += a.sums.demand*pooledPercent/100/l.lenders + 1
+		}
 	}
+	share := scale(a.unspent()*grantedPercent/100, weight, a.sums.demand)
 	horizon := int64(grantHorizon / time.Second)
-	return min(share, max((h.demand+base)*horizon, share*floorPercent/100)+h.want)
+	return min(share, max(weight*horizon, share*floorPercent/100)+h.want)
 }
 
 // topUp returns what the router is granted: what it lacks to its share, or what it
 // wants at once.
-func (l *Ledger) topUp(a *account, h *holder) int64 {
+func (l *Ledger) topUp(a *account, h *holder, r *router) int64 {
 	free := a.free()
 	if free <= 0 {
 		return 0
@@ -497,7 +523,7 @@
 	if lack := h.want - h.held(); h.want > 0 && lack > 0 && lack <= free {
 		amount = lack
 	}
-	share := l.share(a, h)
+	share := l.share(a, h, r)
 	if h.held() < share*topUpPercent/100 {
 		amount = max(amount, min(share-h.held(), free))
 	}
@@ -506,8 +532,8 @@
 
 // keep is the most that the router should hold unspent. While others want more
 // than is free, a router keeps only its share.
-func (l *Ledger) keep(a *account, h *holder) int64 {
-	share := l.share(a, h)
+func (l *Ledger) keep(a *account, h *holder, r *router) int64 {
+	share := l.share(a, h, r)
 	if a.free() < 0 {
 		return max(0, a.unspent()/max(int64(len(a.holders)), 1))
 	}
