spender: say at once when only a raised budget can help

Change: an answer of control tells what all routers can still spend; a request beyond it is refused at once and told to come back late.

--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -26,6 +26,7 @@
 	// Times after which callers should come back whom the grants do not cover.
 	partitionRetry = 300 * time.Millisecond
 	scarceRetry    = 2500 * time.Millisecond
+	exhaustedRetry = 20 * time.Second
 	// maxLenders is how many routers are asked to reserve for one request.
 	maxLenders    = 10
 	lenderTimeout = 40 * time.Millisecond
@@ -85,25 +86,29 @@
 		return refuse(http.StatusPaymentRequired, "budgetExhausted", 0,
 			zap.Int64("tokens", tokens), zap.Int64("remaining", v.Remaining()), zap.Duration("age", v.AckAge()))
 	case spender.Short:
-		if q.borrow(ctx, tokens) {
+		if !v.Hopeless() && q.borrow(ctx, tokens) {
 			return nil
 		}
 		return refuse(http.StatusServiceUnavailable, "grantTooSmall", grantRetry(v),
 			zap.Int64("tokens", tokens), zap.Int64("held", v.Held()),
-			zap.Bool("detached", v.Detached()), zap.Duration("age", v.AckAge()))
+			zap.Bool("detached", v.Detached()), zap.Bool("hopeless", v.Hopeless()), zap.Duration("age", v.AckAge()))
 	default:
 		panic(verdict)
 	}
 }
 
 // grantRetry is when a caller should come back whom the grants do not cover: soon
-// while control can grant more, else once a partition may have ended or a budget
-// may have been raised.
+// where a partition may end or a grant may come, late where only a raised budget
+// can help.
 func grantRetry(v spender.Short) time.Duration {
-	if v.Raisable() {
+	switch {
+	case v.Hopeless():
+		return exhaustedRetry
+	case v.Raisable():
 		return scarceRetry
+	default:
+		return partitionRetry
 	}
-	return partitionRetry
 }
 
 // awaitGrant waits for an answer of control, or of the witnesses, that covers the
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -26,12 +26,12 @@
 	paceRatio = 1.5
 	// lendingSpan is in how long a lender may lend its whole grant while control is
 	// silent.
-	lendingSpan = 30 * time.Second
+	lendingSpan = 60 * time.Second
 	// witnessedSpan is for how long a ceiling that the witnesses know lasts.
-	witnessedSpan = 1500 * time.Millisecond
+	witnessedSpan = 600 * time.Millisecond
 	// witnessedParts is into how many steps a grant is cut for which the witnesses
 	// are told at the least, since a lender cannot know what it will be asked for.
-	witnessedParts = 8
+	witnessedParts = 24
 	// witnessLead is how long before a router counts as detached it turns to its
 	// witnesses.
 	witnessLead = 400 * time.Millisecond
@@ -63,6 +63,7 @@
 type Short struct {
 	detached bool
 	raisable bool
+	hopeless bool
 	held     int64
 	ackAge   time.Duration
 }
@@ -86,6 +87,10 @@
 // spend, so that it is worth waiting for a moment.
 func (s Short) Raisable() bool { return s.raisable }
 
+// Hopeless reports whether all routers together cannot cover the request until
+// the budget is raised.
+func (s Short) Hopeless() bool { return s.hopeless }
+
 // Held returns how many tokens the router holds unreserved.
 func (s Short) Held() int64 { return s.held }
 
@@ -108,7 +113,8 @@
 	spent     int64
 	reserved  int64
 	remaining int64
-	known     bool // whether control has answered for the organisation
+	available int64 // what all routers together could spend at the last answer
+	known     bool  // whether control has answered for the organisation
 
 	want      int64
 	wantUntil time.Time
@@ -168,13 +174,16 @@
 	if a.known && !detached && tokens > a.remaining {
 		return Exhausted{a.remaining, s.silence(now)}
 	}
+	silence := s.silence(now)
+	if a.known && !detached && tokens > a.available {
+		return Short{hopeless: true, held: available, ackAge: silence}
+	}
 	a.want = max(a.want, a.reserved+tokens)
 	a.wantUntil = now.Add(wantLifetime)
 	s.urgent = true
-	silence := s.silence(now)
 	unreserved := a.granted - a.returned - a.spent - a.reserved
 	raisable := silence < controlSilence || escrower.Detached(silence) && len(s.required) > 0 && tokens <= unreserved
-	return Short{detached, raisable, available, silence}
+	return Short{detached: detached, raisable: raisable, held: available, ackAge: silence}
 }
 
 // lendPercent is the part of what is free that is reserved in parts for requests
@@ -408,7 +417,7 @@
 		if isNewest {
 			a.ceiling, a.pace = g.Ceiling(), g.Pace()
 		}
-		a.remaining, a.known = g.Remaining(), true
+		a.remaining, a.available, a.known = g.Remaining(), g.Available(), true
 		// Only what no request can have reserved or spent goes back.
 		idle := a.granted - a.returned - a.spent - a.reserved
 		if excess := idle - max(0, g.Keep()-a.reserved); excess > 0 {
--- a/pkg/state/escrower/codec.go
+++ b/pkg/state/escrower/codec.go
@@ -83,6 +83,7 @@
 	Pace         int64
 	Keep         int64
 	Remaining    int64
+	Available    int64
 }
 
 type wireAnswer struct {
@@ -143,7 +144,7 @@
 	w := wireAnswer{Sequence: a.sequence, Asked: encoder.ProcessesToWire(a.asked)}
 	for _, g := range a.grants {
 		w.Grants = append(w.Grants, wireGrant{
-			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Pace: g.pace, Keep: g.keep, Remaining: g.remaining,
+			Organisation: g.organisation, Granted: g.granted, Ceiling: g.ceiling, Pace: g.pace, Keep: g.keep, Remaining: g.remaining, Available: g.available,
 		})
 	}
 	return encoder.Marshal(w)
@@ -157,7 +158,7 @@
 	}
 	a := Answer{sequence: w.Sequence, asked: encoder.ProcessesFromWire(w.Asked)}
 	for _, g := range w.Grants {
-		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Pace, g.Keep, g.Remaining})
+		a.grants = append(a.grants, Grant{g.Organisation, g.Granted, g.Ceiling, g.Pace, g.Keep, g.Remaining, g.Available})
 	}
 	return a, nil
 }
--- a/pkg/state/escrower/escrower.go
+++ b/pkg/state/escrower/escrower.go
@@ -147,6 +147,7 @@
 	pace         int64
 	keep         int64
 	remaining    int64
+	available    int64
 }
 
 // Organisation returns what the grant is about.
@@ -164,6 +165,10 @@
 // Keep returns the most that the router should hold unspent.
 func (g Grant) Keep() int64 { return g.keep }
 
+// Available returns the most that all routers together can still spend. It is less
+// than Remaining by what routers that have ended may have spent.
+func (g Grant) Available() int64 { return g.available }
+
 // Remaining returns the most that the organisation has left: the prepaid total
 // less what is known to be spent.
 func (g Grant) Remaining() int64 { return g.remaining }
@@ -370,6 +375,7 @@
 			pace:         h.pace,
 			keep:         l.keep(a, h, current),
 			remaining:    a.unspent() + a.writtenOff,
+			available:    a.unspent(),
 		})
 	}
 	for _, testimony := range c.Testimonies {
