--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -155,7 +155,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // wakes whoever reads or writes
 	w := &writer{connection: c, data: r.encode(), done: make(chan error, 1)}
 	go w.run()
-	response, err := c.receive(r)
+	response, err := c.receive(r) //nolint:bodyclose // Answer.Close ends the connection
 	if err != nil {
 		stop()
 		_ = c.Close() // nothing to do about a failing close
--- a/internal/placer/target.go
+++ b/internal/placer/target.go
@@ -11,7 +11,8 @@
 	// reportSpan is how quickly a report of a target's load loses its weight.
 	reportSpan = 1500 * time.Millisecond
 	// faultSpan is how quickly failures of a target are forgotten.
-	faultSpan = 3 * time.Second
+	faultSpan      = 3 * time.Second
+	leastFaultRate = 0.02
 	// keptTime is for how long an engine surely keeps a part that was used.
 	keptTime = 8 * time.Second
 	// maxSentParts bounds what is remembered of a target.
@@ -79,8 +80,14 @@
 	return float64(t.open) + float64(t.others)*decay(now.Sub(t.reportedAt), reportSpan)
 }
 
+// faultRate is the decaying count of failures. What is left of old ones is nothing,
+// so that the target is tried again.
 func (t *target) faultRate(now time.Time) float64 {
-	return t.faults * decay(now.Sub(t.faultsAt), faultSpan)
+	rate := t.faults * decay(now.Sub(t.faultsAt), faultSpan)
+	if rate < leastFaultRate {
+		return 0
+	}
+	return rate
 }
 
 func (t *target) fault(now time.Time) {
