--- /dev/null
+++ b/pkg/coordination/replicator/membership_test.go
@@ -0,0 +1,81 @@
+package replicator
+
+import (
+	"testing"
+
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+)
+
+// Guards: an accepted configuration never goes back. A member that replays its
+// journal does not count as current before an entry of a present leader tells it
+// how far the log is.
+func TestReplayingMemberIsNotCurrent(t *testing.T) {
+	r := newMember(t, 1, Entry{2, 1, Command, []byte("old")}, Entry{3, 1, Command, []byte("new")})
+	r.Take()
+	if r.Current() {
+		t.Fatal("current without a leader")
+	}
+	elect(t, r)
+	persist(r)
+	if r.Current() {
+		t.Fatal("current before an entry of the own term is committed")
+	}
+	r.Step(AppendResponse{header: header{memberB, memberA, r.Term()}, success: true, index: r.lastIndex()})
+	r.Take()
+	if !r.Current() {
+		t.Fatal("not current after all has been committed and taken")
+	}
+}
+
+// Guards: the loss of two voters is borne once a machine that is gone for good has
+// been replaced. A silent voter gives way only to a learner that has caught up.
+func TestSilentVoterGivesWayToLearner(t *testing.T) {
+	const ticks = 20
+	learner := identifier.NewProcess("d", 1)
+	cases := []struct {
+		name     string
+		learns   bool
+		silent   bool
+		caughtUp bool
+		want     identifier.Process
+	}{
+		{"no learner", false, true, false, identifier.Process{}},
+		{"learner behind", true, true, false, identifier.Process{}},
+		{"no voter silent", true, false, true, identifier.Process{}},
+		{"learner takes over", true, true, true, memberC},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newMember(t, 1)
+			elect(t, r)
+			persist(r)
+			answer := func(from identifier.Process) {
+				r.Step(AppendResponse{header: header{from, memberA, r.Term()}, success: true, index: r.lastIndex()})
+			}
+			answer(memberB)
+			r.Take()
+			if c.learns {
+				if err := r.Admit(learner); err != nil {
+					t.Fatal(err)
+				}
+				persist(r)
+				answer(memberB)
+				r.Take()
+			}
+			for range ticks {
+				r.Tick()
+				answer(memberB)
+				if !c.silent {
+					answer(memberC)
+				}
+				if c.caughtUp {
+					answer(learner)
+				}
+			}
+			removed, err := r.ReplaceSilent(ticks)
+			if err != nil || removed != c.want {
+				t.Fatalf("removed %s, %v; want %s", removed, err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/state/journaler/repair_test.go
@@ -0,0 +1,52 @@
+package journaler
+
+import (
+	"os"
+	"testing"
+)
+
+// Guards: nothing acknowledged is lost, and nothing is recovered twice, when a disk
+// has refused a write and takes the next one.
+func TestAppendAfterARefusedWrite(t *testing.T) {
+	folder := t.TempDir()
+	j, _, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Append([][]byte{[]byte("first")}); err != nil {
+		t.Fatal(err)
+	}
+	// Half of a frame reaches the disk; then it takes no more.
+	if _, err := j.file.Write([]byte{9, 0, 0, 0, 1, 2}); err != nil {
+		t.Fatal(err)
+	}
+	writable := j.file
+	refusing, err := os.Open(journalPath(folder, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.file = refusing
+	for range 2 {
+		if err := j.Append([][]byte{[]byte("second")}); err == nil {
+			t.Fatal("a refused write counts as appended")
+		}
+	}
+	j.file = writable
+	if err := j.Append([][]byte{[]byte("second")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, contents, err := Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, record := range contents.Records() {
+		got = append(got, string(record))
+	}
+	if len(got) != 2 || got[0] != "first" || got[1] != "second" || contents.CutBytes() != 0 {
+		t.Fatalf("%q, %d bytes cut", got, contents.CutBytes())
+	}
+}
