recorder: log in the background, bounded

Cause: a reader of standard output that stalls would have stalled requests. Conclusion: TestWriterNeverBlocks fails without the queue (it hangs).

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -41,6 +41,7 @@
 		return exitFailed
 	}
 	_, err := parser.ParseArgs(args)
+	logWriter.Close()
 	return report(err)
 }
 
--- a/internal/commander/daemons.go
+++ b/internal/commander/daemons.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -23,13 +24,23 @@
 	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings of this process"`
 }
 
+// logWriter is where daemons log. It is closed when the command line ends.
+var logWriter = recorder.NewWriter(os.Stdout)
+
+// heapPercent of the memory of a process may be heap. Stacks and the network need
+// the rest.
+const heapPercent = 70
+
 // load reads the settings and opens the log.
 func (o settingsOption) load(role configurer.Role) (configurer.Settings, *zap.Logger, error) {
 	settings, err := configurer.Load(o.Settings, role)
 	if err != nil {
 		return settings, nil, mistake{err}
 	}
-	log, err := recorder.NewLog(os.Stdout, settings.LogLevel(), settings.VM(), settings.DataCentre())
+	if limit := settings.MemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit / 100 * heapPercent)
+	}
+	log, err := recorder.NewLog(logWriter, settings.LogLevel(), settings.VM(), settings.DataCentre())
 	return settings, log, err
 }
 
