--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
 
@@ -165,7 +166,7 @@
 			if unreached < maxUnreached {
 				continue
 			}
-			q.giveUp(refuse(http.StatusServiceUnavailable, "targetsUnreachable", targetRetry, zap.Error(result.err)))
+			q.giveUp(refuse(http.StatusServiceUnavailable, "targetsUnreachable", targetRetry, recorder.Err(result.err)))
 			return
 		}
 		if !result.retry && !q.mayRetry(result) {
@@ -240,7 +241,7 @@
 	if _, rejected := r.outcome.(placer.Rejected); rejected {
 		return refuse(http.StatusServiceUnavailable, "targetsFull", fullRetry, zap.Int("status", r.status))
 	}
-	return refuse(http.StatusBadGateway, "targetFailed", 0, zap.Error(r.err))
+	return refuse(http.StatusBadGateway, "targetFailed", 0, recorder.Err(r.err))
 }
 
 // attempt sends the request to one target and passes its answer on.
