placer, messenger: no news of targets whose address is taken; one place for keys

Cause: a late announcement of a target whose address a later start has taken was logged as a target that appeared, each time it came; the keys of presence stood in two packages. Found by: TestTargetsComeAndGo, which failed first on the change it reports.

--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -4,20 +4,18 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
 const (
-	// ControlPrefix marks the entries of the disseminator that tell where control
-	// VMs accept links.
-	ControlPrefix = "control/"
-
 	discoveryInterval = 500 * time.Millisecond
 	presenceInterval  = 4 * time.Second
 	presenceLease     = 12 * time.Second
@@ -51,7 +49,7 @@
 func (c *Controller) announceSelf() {
 	now := time.Now()
 	err := c.spreader.Put(disseminator.NewEntry(disseminator.EntryConfig{
-		Key:       ControlPrefix + c.member.VM(),
+		Key:       messenger.ControlPresence + c.member.VM(),
 		Version:   disseminator.NewVersion(c.startedAt, uint64(now.UnixNano())),
 		Value:     []byte(c.settings.AdvertisedAddress()),
 		ExpiresAt: now.Add(presenceLease),
@@ -64,7 +62,7 @@
 func (c *Controller) controlAddresses() []string {
 	addresses := slices.Clone(*c.addresses.Load())
 	for _, e := range c.spreader.Live() {
-		if len(e.Key()) > len(ControlPrefix) && e.Key()[:len(ControlPrefix)] == ControlPrefix {
+		if strings.HasPrefix(e.Key(), messenger.ControlPresence) {
 			addresses = append(addresses, string(e.Value()))
 		}
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	gatewayPrefix = "gateway/"
-	controlPrefix = "control/"
-
 	membershipInterval = 500 * time.Millisecond
 	presenceInterval   = 5 * time.Second
 	presenceLease      = 20 * time.Second
@@ -91,7 +88,7 @@
 func (g *Gateway) announceSelf() {
 	now := time.Now()
 	err := g.spreader.Put(disseminator.NewEntry(disseminator.EntryConfig{
-		Key:       gatewayPrefix + g.process.VM(),
+		Key:       messenger.GatewayPresence + g.process.VM(),
 		Version:   disseminator.NewVersion(g.process.Incarnation(), uint64(now.UnixNano())),
 		Value:     []byte(g.settings.AdvertisedAddress()),
 		ExpiresAt: now.Add(presenceLease),
@@ -108,9 +105,9 @@
 	var routers []disseminator.Entry
 	for _, e := range g.spreader.Live() {
 		switch {
-		case strings.HasPrefix(e.Key(), controlPrefix):
+		case strings.HasPrefix(e.Key(), messenger.ControlPresence):
 			addresses = append(addresses, string(e.Value()))
-		case strings.HasPrefix(e.Key(), gatewayPrefix):
+		case strings.HasPrefix(e.Key(), messenger.GatewayPresence):
 			routers = append(routers, e)
 		}
 	}
@@ -132,8 +129,8 @@
 	lender := false
 	vms := map[string]bool{}
 	for _, e := range routers[:min(len(routers), linkedRouters)] {
-		vms[strings.TrimPrefix(e.Key(), gatewayPrefix)] = true
-		if e.Key() == gatewayPrefix+g.process.VM() {
+		vms[strings.TrimPrefix(e.Key(), messenger.GatewayPresence)] = true
+		if e.Key() == messenger.GatewayPresence+g.process.VM() {
 			lender = true
 			continue
 		}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -14,6 +14,13 @@
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
+// The keys of entries of the disseminator with which processes tell where they
+// accept links begin with these; the VM's name follows.
+const (
+	ControlPresence = "control/"
+	GatewayPresence = "gateway/"
+)
+
 // The kinds of messages.
 const (
 	// Replicate carries a message of the replicated log. Notice.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -167,6 +167,9 @@
 	p.targets[a.Name()] = &target{announcement: a, leaving: leaving, expiresAt: expiresAt}
 	p.supersede(a)
 	p.index()
+	if _, used := p.targets[a.Name()]; !used {
+		return Unchanged
+	}
 	if leaving {
 		return Left
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -143,17 +143,20 @@
 		incarnation uint64
 		sequence    uint64
 		state       selector.State
+		change      placer.Change
 		want        int // targets that can be chosen afterwards
 	}{
-		{"leaves", "target-0", "10.0.0.0:80", 1, 2, leaving, 0},
-		{"late announcement", "target-0", "10.0.0.0:80", 1, 3, serving, 0},
-		{"starts again under its name", "target-0", "10.0.0.0:80", 2, 1, serving, 1},
-		{"old announcement", "target-0", "10.0.0.0:80", 1, 9, leaving, 1},
-		{"another takes the address", "target-1", "10.0.0.0:80", 3, 1, serving, 1},
-		{"the former one speaks late", "target-0", "10.0.0.0:80", 2, 2, serving, 1},
+		{"leaves", "target-0", "10.0.0.0:80", 1, 2, leaving, placer.Left, 0},
+		{"late announcement", "target-0", "10.0.0.0:80", 1, 3, serving, placer.Unchanged, 0},
+		{"starts again under its name", "target-0", "10.0.0.0:80", 2, 1, serving, placer.Appeared, 1},
+		{"old announcement", "target-0", "10.0.0.0:80", 1, 9, leaving, placer.Unchanged, 1},
+		{"another takes the address", "target-1", "10.0.0.0:80", 3, 1, serving, placer.Appeared, 1},
+		{"the former one speaks late", "target-0", "10.0.0.0:80", 2, 2, serving, placer.Unchanged, 1},
 	}
 	for _, c := range cases {
-		announce(t, p, c.target, plainService, c.address, c.incarnation, c.sequence, c.state)
+		if got := announce(t, p, c.target, plainService, c.address, c.incarnation, c.sequence, c.state); got != c.change {
+			t.Fatalf("%s: change %d, want %d", c.name, got, c.change)
+		}
 		if got := p.Len(plainService, start, false); got != c.want {
 			t.Fatalf("%s: %d targets, want %d", c.name, got, c.want)
 		}
