--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
@@ -179,9 +180,11 @@
 	var running sync.WaitGroup
 	running.Go(func() { stop(c.replication.run(serving)) })
 	running.Go(func() { c.spreader.Run(serving) })
-	running.Go(func() { c.runDuties(serving) })
+	duties := repeater.New(repeater.Config{Interval: dutyInterval, Step: c.doDuties})
+	running.Go(func() { duties.Run(serving) })
 	running.Go(func() { c.runDiscovery(serving) })
-	running.Go(func() { c.runMembership(serving) })
+	members := repeater.New(repeater.Config{Interval: membershipInterval, Step: c.keepMembers})
+	running.Go(func() { members.Run(serving) })
 	select {
 	case <-ctx.Done():
 		c.shutDown()
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -13,6 +13,7 @@
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 )
 
 const (
@@ -29,21 +30,14 @@
 // others: those of the settings, those that have told where they are, and the
 // members of the log whose names are IP numbers.
 func (c *Controller) runDiscovery(ctx context.Context) {
-	ticker := time.NewTicker(discoveryInterval)
-	defer ticker.Stop()
 	var announcedAt time.Time
-	for {
+	repeater.New(repeater.Config{Interval: discoveryInterval, AtStart: true, Step: func(context.Context) {
 		if time.Since(announcedAt) >= presenceInterval {
 			c.announceSelf()
 			announcedAt = time.Now()
 		}
 		c.endpoint.Keep(c.controlAddresses())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	}}).Run(ctx)
 }
 
 func (c *Controller) announceSelf() {
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -36,47 +36,29 @@
 	clockDrift = 5 * time.Second
 )
 
-// runDuties does what a control VM has to do now and then.
-func (c *Controller) runDuties(ctx context.Context) {
-	ticker := time.NewTicker(dutyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		c.notifyRouters(messenger.NewNumberNews(c.configuration.Load().Number()))
-		s := c.status.Load()
-		if s.role != replicator.Leader {
-			c.contacts.reset()
-			continue
-		}
-		c.retireSilent(ctx)
-		c.logBudgets(ctx)
-		c.handOutSweeps(ctx)
-		c.handOutOrphans(ctx)
+// doDuties does what a control VM has to do now and then.
+func (c *Controller) doDuties(ctx context.Context) {
+	c.notifyRouters(messenger.NewNumberNews(c.configuration.Load().Number()))
+	s := c.status.Load()
+	if s.role != replicator.Leader {
+		c.contacts.reset()
+		return
 	}
+	c.retireSilent(ctx)
+	c.logBudgets(ctx)
+	c.handOutSweeps(ctx)
+	c.handOutOrphans(ctx)
 }
 
-// runMembership keeps this VM a member of the log and, where it leads, the
+// keepMembers keeps this VM a member of the log and, where it leads, the
 // members such that a quorum of them is alive.
-func (c *Controller) runMembership(ctx context.Context) {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s := c.status.Load()
-		if !s.membership.Has(c.member) || s.leader.IsZero() {
-			c.join(ctx)
-		}
-		if s.role == replicator.Leader {
-			c.promote(ctx, *s)
-		}
+func (c *Controller) keepMembers(ctx context.Context) {
+	s := c.status.Load()
+	if !s.membership.Has(c.member) || s.leader.IsZero() {
+		c.join(ctx)
+	}
+	if s.role == replicator.Leader {
+		c.promote(ctx, *s)
 	}
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -18,6 +18,7 @@
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/escrower"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -65,10 +66,8 @@
 
 // runMembership tells the fleet of this router and keeps links to control VMs.
 func (g *Gateway) runMembership(ctx context.Context) {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
 	var announcedAt time.Time
-	for {
+	repeater.New(repeater.Config{Interval: membershipInterval, AtStart: true, Step: func(context.Context) {
 		if time.Since(announcedAt) >= presenceInterval {
 			g.announceSelf()
 			announcedAt = time.Now()
@@ -77,12 +76,7 @@
 		if len(g.controlPeers()) == 0 {
 			g.stallEndsAt.Store(time.Now().Add(stallGrace).UnixNano())
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	}}).Run(ctx)
 }
 
 func (g *Gateway) announceSelf() {
@@ -288,35 +282,21 @@
 	return nil
 }
 
-// runReports reports to control what has been spent.
-func (g *Gateway) runReports(ctx context.Context) {
-	ticker := time.NewTicker(reportTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-g.reportNow:
-		}
-		if !g.spender.Due(time.Now()) {
-			continue
-		}
-		if err := g.report(ctx, false); err != nil {
-			g.log.Debug("spending not reported", recorder.Err(err))
-		}
+// reportDue reports to control what has been spent, when it is time.
+func (g *Gateway) reportDue(ctx context.Context) {
+	if !g.spender.Due(time.Now()) {
+		return
+	}
+	if err := g.report(ctx, false); err != nil {
+		g.log.Debug("spending not reported", recorder.Err(err))
 	}
 }
 
 // urgeReport makes the next report, and the next word to the witnesses, go out at
 // once.
 func (g *Gateway) urgeReport() {
-	for _, wake := range []chan struct{}{g.reportNow, g.witnessNow} {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	}
+	g.reports.Urge()
+	g.ceilings.Urge()
 }
 
 // report sends one report and takes the answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"radishshed.example/radishshed/internal/retrier"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -69,12 +70,12 @@
 	lenders   *lenders
 	witnesses *witnesses
 
-	catalogue  atomic.Pointer[cataloguer.Catalogue]
-	record     atomic.Pointer[cataloguer.Record]
-	adopting   sync.Mutex
-	fetches    chan *linker.Peer
-	reportNow  chan struct{}
-	witnessNow chan struct{}
+	catalogue atomic.Pointer[cataloguer.Catalogue]
+	record    atomic.Pointer[cataloguer.Record]
+	adopting  sync.Mutex
+	fetches   chan *linker.Peer
+	reports   *repeater.Repeater // of what has been spent, to control
+	ceilings  *repeater.Repeater // of this router's ceilings, to its witnesses
 	// chosenWitnesses and askedAbout belong to the goroutine that reports.
 	chosenWitnesses, askedAbout []identifier.Process
 	routerCount                 atomic.Int64
@@ -103,10 +104,9 @@
 		witnesses: newWitnesses(),
 		spender:   spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:   make(chan *linker.Peer, maxQueuedFetches),
-		reportNow: make(chan struct{}, 1),
-
-		witnessNow: make(chan struct{}, 1),
 	}
+	g.reports = repeater.New(repeater.Config{Interval: reportTick, Step: g.reportDue})
+	g.ceilings = repeater.New(repeater.Config{Interval: witnessInterval, Step: g.nextCeilings})
 	g.meters = newMeters(g.metrics)
 	g.record.Store(&cataloguer.Record{})
 	g.Reload(c.Settings)
@@ -161,8 +161,8 @@
 	running.Go(func() { g.spreader.Run(serving) })
 	running.Go(func() { g.runMembership(serving) })
 	running.Go(func() { g.runFetches(serving) })
-	running.Go(func() { g.runReports(serving) })
-	running.Go(func() { g.runWitnesses(serving) })
+	running.Go(func() { g.reports.Run(serving) })
+	running.Go(func() { g.ceilings.Run(serving) })
 	running.Go(func() { g.runSweeps(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
 	select {
@@ -245,20 +245,14 @@
 func (g *Gateway) runSweeps(ctx context.Context) {
 	const sweepInterval = time.Second
 	const targetMemory = 30 * time.Second
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			g.exchanger.Sweep(now)
-			g.chargeLoans(identifier.Process{}, now)
-			if !g.stalled(now) {
-				g.placer.Forget(now.Add(-targetMemory))
-			}
+	repeater.New(repeater.Config{Interval: sweepInterval, Step: func(context.Context) {
+		now := time.Now()
+		g.exchanger.Sweep(now)
+		g.chargeLoans(identifier.Process{}, now)
+		if !g.stalled(now) {
+			g.placer.Forget(now.Add(-targetMemory))
 		}
-	}
+	}}).Run(ctx)
 }
 
 // errNoControl means that no control VM can be reached.
--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -100,28 +100,18 @@
 	return chosen
 }
 
-// runWitnesses tells the witnesses of this router its ceilings while control is
+// nextCeilings tells the witnesses of this router its ceilings while control is
 // silent.
-func (g *Gateway) runWitnesses(ctx context.Context) {
-	ticker := time.NewTicker(witnessInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-g.witnessNow:
-		}
-		ceilings, required := g.spender.NextCeilings(time.Now())
-		if len(ceilings) == 0 {
-			continue
-		}
-		if err := g.tellWitnesses(ctx, ceilings, required); err != nil {
-			g.log.Debug("ceilings not witnessed", recorder.Err(err))
-			continue
-		}
-		g.spender.Confirm(ceilings)
+func (g *Gateway) nextCeilings(ctx context.Context) {
+	ceilings, required := g.spender.NextCeilings(time.Now())
+	if len(ceilings) == 0 {
+		return
+	}
+	if err := g.tellWitnesses(ctx, ceilings, required); err != nil {
+		g.log.Debug("ceilings not witnessed", recorder.Err(err))
+		return
 	}
+	g.spender.Confirm(ceilings)
 }
 
 // tellWitnesses returns nil once all witnesses know the ceilings.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -14,6 +14,7 @@
 
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
@@ -35,21 +36,14 @@
 // runMembership announces this router and keeps links to all control VMs and to
 // a few routers in each data centre.
 func (r *Router) runMembership(ctx context.Context) {
-	ticker := time.NewTicker(membershipTick)
-	defer ticker.Stop()
 	var announcedAt time.Time
-	for {
+	repeater.New(repeater.Config{Interval: membershipTick, AtStart: true, Step: func(context.Context) {
 		if time.Since(announcedAt) >= presenceInterval {
 			r.announceSelf()
 			announcedAt = time.Now()
 		}
 		r.endpoint.Keep(append(slices.Clone(r.settings.ControlAddresses()), r.peerAddresses()...))
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	}}).Run(ctx)
 }
 
 func (r *Router) announceSelf() {
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -11,24 +11,15 @@
 
 const probeInterval = 500 * time.Millisecond
 
-// runProbes asks targets directly when news of them has stalled, as it does at
+// probeStale asks targets directly when news of them has stalled, as it does at
 // a router that is cut off from those that hear their announcements.
-func (r *Router) runProbes(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		var asking sync.WaitGroup
-		for _, target := range r.selector.Stale() {
-			p := &probe{r, target}
-			asking.Go(func() { p.run(ctx) })
-		}
-		asking.Wait()
+func (r *Router) probeStale(ctx context.Context) {
+	var asking sync.WaitGroup
+	for _, target := range r.selector.Stale() {
+		p := &probe{r, target}
+		asking.Go(func() { p.run(ctx) })
 	}
+	asking.Wait()
 }
 
 // probe is a question to one target.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,7 @@
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/holder"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -151,7 +152,8 @@
 	running.Go(func() { r.spreader.Run(serving) })
 	running.Go(func() { r.runMembership(serving) })
 	running.Go(func() { r.runConfiguration(serving) })
-	running.Go(func() { r.runProbes(serving) })
+	probes := repeater.New(repeater.Config{Interval: probeInterval, Step: r.probeStale})
+	running.Go(func() { probes.Run(serving) })
 	r.log.Info("router started", zap.Stringer("process", r.process))
 	select {
 	case <-ctx.Done():
--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -32,8 +32,6 @@
 	wants        map[pricer.Amount]int // how many requests wait for each amount
 	granted      pricer.Amount
 	returned     pricer.Amount
-	sent         pricer.Amount
-	received     pricer.Amount
 	keep         pricer.Amount
 	sequence     uint64
 	demand       float64
@@ -70,27 +68,6 @@
 	a.spent.Add(int64(cost))
 }
 
-// Send takes up to the amount out of what is available, to pass it on to
-// another router, and returns how much it took.
-func (a *Account) Send(amount pricer.Amount) pricer.Amount {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	amount = min(amount, a.Available())
-	if amount <= 0 || !a.Reserve(amount) {
-		return 0
-	}
-	a.sent += amount
-	return amount
-}
-
-// Receive adds what another router has sent.
-func (a *Account) Receive(amount pricer.Amount) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.received += amount
-	a.available.Add(int64(amount))
-}
-
 // Want notes that a request waits for the amount, until GiveUp. Draws ask for
 // the largest amount that is waited for.
 func (a *Account) Want(amount pricer.Amount) {
@@ -188,8 +165,6 @@
 		Want:     a.largestWant(),
 		Demand:   pricer.Amount(a.demand),
 		Returned: a.returned,
-		Sent:     a.sent,
-		Received: a.received,
 	})
 }
 
--- a/pkg/coordination/allotter/policy_test.go
+++ b/pkg/coordination/allotter/policy_test.go
@@ -70,16 +70,14 @@
 }
 
 type policyWay struct {
-	name      string
-	policy    bookkeeper.Policy
-	transfers bool
+	name   string
+	policy bookkeeper.Policy
 }
 
 var policyWays = []policyWay{
-	{"ask control each time", bookkeeper.PerRequest{}, false},
-	{"equal shares", bookkeeper.EqualShares{}, false},
-	{"demand-weighted", bookkeeper.DemandWeighted{}, false},
-	{"with transfers", bookkeeper.DemandWeighted{}, true},
+	{"ask control each time", bookkeeper.PerRequest{}},
+	{"equal shares", bookkeeper.EqualShares{}},
+	{"demand-weighted", bookkeeper.DemandWeighted{}},
 }
 
 // wayInUse is the policy that the ledger uses unless it is configured.
@@ -359,7 +357,7 @@
 	}
 }
 
-// obtain gets more for a request, from control or from routers on its side.
+// obtain gets more for a request from control.
 func (t *trial) obtain(w *run, account *allotter.Account) bool {
 	if t.reaches(w.router) {
 		if !w.wants {
@@ -369,16 +367,7 @@
 		t.send(w.router, t.grants[w.router].Urgent(), nil)
 		return account.Reserve(w.intent.Reserve())
 	}
-	if !t.way.transfers || t.c.name == "every router alone 10 min" {
-		return false
-	}
-	for other := range routers {
-		if other != w.router && inLastCentre(other) && account.Available() < w.intent.Reserve() {
-			theirs := t.grants[other].Account(accountOf(w.organisation))
-			account.Receive(theirs.Send(max(w.intent.Reserve()-account.Available(), theirs.Available()/2)))
-		}
-	}
-	return account.Reserve(w.intent.Reserve())
+	return false
 }
 
 // missedAtCut returns, in percent, how much of what the budgets could have
--- a/pkg/coordination/disseminator/spreader.go
+++ b/pkg/coordination/disseminator/spreader.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/pkg/coordination/repeater"
 )
 
 // Link sends encoded updates to one peer, in order.
@@ -30,8 +32,8 @@
 // Spreader keeps a table in step with those of its peers. It is safe for
 // concurrent use.
 type Spreader struct {
-	config SpreaderConfig
-	wake   chan struct{}
+	config  SpreaderConfig
+	updates *repeater.Repeater
 
 	mutex sync.Mutex
 	table *Table
@@ -49,12 +51,11 @@
 	if config.Changed == nil {
 		config.Changed = func([]Entry) {}
 	}
-	return &Spreader{
-		config: config,
-		wake:   make(chan struct{}, 1),
-		table:  New(config.Table),
-		views:  map[Link]*View{},
-	}
+	s := &Spreader{config: config, table: New(config.Table), views: map[Link]*View{}}
+	s.updates = repeater.New(repeater.Config{
+		Interval: config.Interval, Step: func(context.Context) { s.sendAll() },
+	})
+	return s
 }
 
 // Add starts spreading over the link.
@@ -62,7 +63,7 @@
 	s.mutex.Lock()
 	s.views[link] = NewView()
 	s.mutex.Unlock()
-	s.urge()
+	s.updates.Urge()
 }
 
 // Remove ends spreading over the link.
@@ -81,7 +82,7 @@
 		s.config.Changed([]Entry{e})
 	}
 	if valueChanged {
-		s.urge()
+		s.updates.Urge()
 	}
 	return errors.Wrapf(err, "entry %q", e.key)
 }
@@ -103,7 +104,7 @@
 		s.config.Changed(newer)
 	}
 	if valueChanged {
-		s.urge()
+		s.updates.Urge()
 	}
 	return nil
 }
@@ -126,26 +127,7 @@
 }
 
 // Run sends updates until the context ends.
-func (s *Spreader) Run(ctx context.Context) {
-	ticker := time.NewTicker(s.config.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-s.wake:
-		}
-		s.sendAll()
-	}
-}
-
-func (s *Spreader) urge() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *Spreader) Run(ctx context.Context) { s.updates.Run(ctx) }
 
 func (s *Spreader) sendAll() {
 	now := s.config.Now()
--- /dev/null
+++ b/pkg/coordination/repeater/repeater_test.go
@@ -0,0 +1,68 @@
+package repeater_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"radishshed.example/radishshed/pkg/coordination/repeater"
+)
+
+// Guards: steps come at the interval, the first at once only where that is asked
+// for, and none after the context has ended.
+func TestStepsComeAtTheInterval(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		atStart bool
+		want    int
+	}{
+		{"first step after an interval", false, 3},
+		{"first step at once", true, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				steps := 0
+				r := repeater.New(repeater.Config{
+					Interval: time.Second, AtStart: c.atStart, Step: func(context.Context) { steps++ },
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+				defer cancel()
+				r.Run(ctx)
+				time.Sleep(5 * time.Second)
+				if steps != c.want {
+					t.Fatalf("%d steps, want %d", steps, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards: a step that is urged runs at once, and what is urged while a step runs
+// makes one more.
+func TestUrgedStepRunsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var times []time.Duration
+		start := time.Now()
+		var r *repeater.Repeater
+		r = repeater.New(repeater.Config{Interval: time.Hour, Step: func(context.Context) {
+			times = append(times, time.Since(start))
+			if len(times) == 1 {
+				r.Urge()
+				r.Urge()
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { r.Run(ctx) })
+		time.Sleep(time.Second)
+		r.Urge()
+		synctest.Wait()
+		cancel()
+		running.Wait()
+		if len(times) != 2 || times[0] != time.Second || times[1] != time.Second {
+			t.Fatalf("steps at %v, want two at 1s", times)
+		}
+	})
+}
--- a/pkg/state/bookkeeper/bookkeeper.go
+++ b/pkg/state/bookkeeper/bookkeeper.go
@@ -149,8 +149,6 @@
 	want     pricer.Amount
 	demand   pricer.Amount
 	returned pricer.Amount
-	sent     pricer.Amount
-	received pricer.Amount
 }
 
 // DrawConfig holds the parts of a draw.
@@ -165,14 +163,11 @@
 	Demand pricer.Amount
 	// Returned is what the router has given back so far, in microcredits.
 	Returned pricer.Amount
-	// Sent and Received are what the router has passed to and got from other
-	// routers so far, in microcredits.
-	Sent, Received pricer.Amount
 }
 
 // NewDraw returns a draw with the given parts.
 func NewDraw(c DrawConfig) Draw {
-	return Draw{c.Account, c.Sequence, c.Want, c.Demand, c.Returned, c.Sent, c.Received}
+	return Draw{c.Account, c.Sequence, c.Want, c.Demand, c.Returned}
 }
 
 // Account returns the account to draw on.
@@ -190,12 +185,6 @@
 // Returned returns what the router has given back so far, in microcredits.
 func (d Draw) Returned() pricer.Amount { return d.returned }
 
-// Sent returns what the router has passed to other routers, in microcredits.
-func (d Draw) Sent() pricer.Amount { return d.sent }
-
-// Received returns what the router got from other routers, in microcredits.
-func (d Draw) Received() pricer.Amount { return d.received }
-
 // Grant is the ledger's answer to a draw.
 type Grant struct {
 	account  string
--- a/pkg/state/bookkeeper/codec.go
+++ b/pkg/state/bookkeeper/codec.go
@@ -42,8 +42,6 @@
 	Want     int64
 	Demand   int64
 	Returned int64
-	Sent     int64
-	Received int64
 }
 
 // WireGrant is the CBOR form of a Grant.
@@ -66,7 +64,7 @@
 	_           struct{} `cbor:",toarray"`
 	VM          string
 	Incarnation uint64
-	Amounts     [8]int64
+	Amounts     [6]int64
 	Sequence    uint64
 }
 
@@ -181,14 +179,12 @@
 		Want:     int64(d.want),
 		Demand:   int64(d.demand),
 		Returned: int64(d.returned),
-		Sent:     int64(d.sent),
-		Received: int64(d.received),
 	}
 }
 
 // DrawFromWire is the inverse of DrawToWire.
 func DrawFromWire(w WireDraw) (Draw, error) {
-	for _, amount := range []int64{w.Want, w.Demand, w.Returned, w.Sent, w.Received} {
+	for _, amount := range []int64{w.Want, w.Demand, w.Returned} {
 		if amount < 0 {
 			return Draw{}, errors.New("malformed draw: negative amount")
 		}
@@ -199,8 +195,6 @@
 		want:     pricer.Amount(w.Want),
 		demand:   pricer.Amount(w.Demand),
 		returned: pricer.Amount(w.Returned),
-		sent:     pricer.Amount(w.Sent),
-		received: pricer.Amount(w.Received),
 	}, nil
 }
 
@@ -351,9 +345,9 @@
 		w.Holders = append(w.Holders, wireHolder{
 			VM:          process.VM(),
 			Incarnation: process.Incarnation(),
-			Amounts: [8]int64{
+			Amounts: [6]int64{
 				int64(h.granted), int64(h.returned), int64(h.charged), int64(h.reserved),
-				int64(h.sent), int64(h.received), int64(h.demand), int64(h.want),
+				int64(h.demand), int64(h.want),
 			},
 			Sequence: h.sequence,
 		})
@@ -380,7 +374,7 @@
 	for _, wire := range w.Holders {
 		h := &holder{sequence: wire.Sequence}
 		for i, field := range []*pricer.Amount{
-			&h.granted, &h.returned, &h.charged, &h.reserved, &h.sent, &h.received, &h.demand, &h.want,
+			&h.granted, &h.returned, &h.charged, &h.reserved, &h.demand, &h.want,
 		} {
 			*field = pricer.Amount(wire.Amounts[i])
 		}
--- a/pkg/state/bookkeeper/ledger.go
+++ b/pkg/state/bookkeeper/ledger.go
@@ -43,8 +43,6 @@
 	returned pricer.Amount
 	charged  pricer.Amount
 	reserved pricer.Amount
-	sent     pricer.Amount
-	received pricer.Amount
 	demand   pricer.Amount
 	want     pricer.Amount
 	sequence uint64
@@ -52,7 +50,7 @@
 
 // held returns what the router has left to reserve from.
 func (h *holder) held() pricer.Amount {
-	return h.granted + h.received - h.sent - h.returned - h.charged - h.reserved
+	return h.granted - h.returned - h.charged - h.reserved
 }
 
 type account struct {
@@ -303,7 +301,6 @@
 	if d.sequence > h.sequence {
 		h.sequence = d.sequence
 		a.setNeeds(h, max(d.demand, 0), max(d.want, 0))
-		h.sent, h.received = max(h.sent, d.sent), max(h.received, d.received)
 		l.giveBack(a, h, d.returned-h.returned)
 		l.grant(a, h)
 	}
