gateway: a router whose link fills up leaves new connections to others

Cause: on the grown sites one caller sends a seventh of all requests over connections that the balancer puts on one router. Ruled out: its processor (0.07 of 0.134 cores), control traffic (about 0.05 of the bytes), engines (60 of them are even, busiest 1.34 of the mean). Change: internal/offloader decides from the share of the link in use (settings: linkMegabits, from the limits that the platform states); the router is then not ready for new connections, those that it has stay. Not while it is cut off from control, since others could then get no budget for the caller.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -27,6 +27,7 @@
 
 const (
 	defaultDrainNotice = 5 * time.Second
+	bytesPerMegabit    = 125_000
 	minKeyBytes        = 16
 )
 
@@ -51,6 +52,7 @@
 	openLinks        bool
 	firstStart       bool
 	memoryBytes      int64
+	linkBytes        float64
 	retries          Retries
 }
 
@@ -86,6 +88,10 @@
 // MemoryBytes returns the memory that the process may use, or zero.
 func (s Settings) MemoryBytes() int64 { return s.memoryBytes }
 
+// LinkBytes returns what the VM's network link carries in each direction, in bytes
+// a second, or zero if that is not known.
+func (s Settings) LinkBytes() float64 { return s.linkBytes }
+
 // Retries returns how often the fleet may send requests again.
 func (s Settings) Retries() Retries { return s.retries }
 
@@ -164,6 +170,7 @@
 	FirstStart        bool         `json:"firstStart,omitempty"`
 	ReadyAddress      string       `json:"readyAddress,omitempty" validate:"omitempty,hostname_port"`
 	MemoryMB          int64        `json:"memoryMegabytes,omitempty" validate:"gte=0"`
+	LinkMegabits      float64      `json:"linkMegabits,omitempty" validate:"gte=0"`
 	Retries           *jsonRetries `json:"retries,omitempty"`
 	DataFolder        string       `json:"dataFolder,omitempty"`
 	FleetKeyFile      string       `json:"fleetKeyFile,omitempty" validate:"required_without=OpenLinks,excluded_with=OpenLinks"`
@@ -259,6 +266,7 @@
 		readyAddress:     w.ReadyAddress,
 		firstStart:       w.FirstStart,
 		memoryBytes:      w.MemoryMB << 20,
+		linkBytes:        w.LinkMegabits * bytesPerMegabit,
 	}
 	if w.AdvertisedAddress != "" {
 		s.advertised = w.AdvertisedAddress
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/tallier"
 )
 
 const (
@@ -75,6 +77,7 @@
 type Exchanger struct {
 	dialer net.Dialer
 	opened func()
+	tally  *tallier.Tally
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -84,6 +87,8 @@
 type Config struct {
 	// Opened, if set, is called for each connection that is opened.
 	Opened func()
+	// Tally, if set, counts the bytes of the connections.
+	Tally *tallier.Tally
 }
 
 // New returns an exchanger without connections.
@@ -91,9 +96,13 @@
 	if c.Opened == nil {
 		c.Opened = func() {}
 	}
+	if c.Tally == nil {
+		c.Tally = &tallier.Tally{}
+	}
 	return &Exchanger{
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive},
 		opened: c.Opened,
+		tally:  c.Tally,
 		idle:   map[string][]*connection{},
 	}
 }
@@ -238,6 +247,7 @@
 		return nil, err
 	}
 	e.opened()
+	socket = e.tally.Connection(socket)
 	return &connection{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), address: r.Address}, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,11 +21,13 @@
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/retrier"
 	"radishshed.example/radishshed/internal/spender"
+	"radishshed.example/radishshed/internal/tallier"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
@@ -39,6 +41,7 @@
 	// lastReportTimeout bounds the last report of a router that drains.
 	lastReportTimeout = time.Second
 	defaultWindow     = 10 * time.Second
+	loadInterval      = 250 * time.Millisecond
 )
 
 // Config configures a gateway.
@@ -85,6 +88,9 @@
 	lender                      atomic.Bool                 // whether other routers ask this one to spend for them
 	lenderVMs                   atomic.Pointer[map[string]bool]
 	draining                    atomic.Bool
+	tally                       tallier.Tally
+	offloader                   *offloader.Offloader // belongs to the goroutine that observes the load
+	offloading                  atomic.Bool          // whether new connections are left to others
 }
 
 // New returns a gateway that is not running yet.
@@ -105,12 +111,13 @@
 		spender:   spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:   make(chan *linker.Peer, maxQueuedFetches),
 	}
+	g.offloader = offloader.New(offloader.Config{LinkBytes: c.Settings.LinkBytes()})
 	g.reports = repeater.New(repeater.Config{Interval: reportTick, Step: g.reportDue})
 	g.ceilings = repeater.New(repeater.Config{Interval: witnessInterval, Step: g.nextCeilings})
 	g.meters = newMeters(g.metrics)
 	g.record.Store(&cataloguer.Record{})
 	g.Reload(c.Settings)
-	g.exchanger = exchanger.New(exchanger.Config{Opened: func() { g.meters.connections.Inc(1) }})
+	g.exchanger = exchanger.New(exchanger.Config{Opened: func() { g.meters.connections.Inc(1) }, Tally: &g.tally})
 	g.spreader = disseminator.NewSpreader(disseminator.SpreaderConfig{Changed: g.learn})
 	retries := c.Settings.Retries()
 	window := retries.Window()
@@ -164,6 +171,8 @@
 	running.Go(func() { g.reports.Run(serving) })
 	running.Go(func() { g.ceilings.Run(serving) })
 	running.Go(func() { g.runSweeps(serving) })
+	load := repeater.New(repeater.Config{Interval: loadInterval, Step: g.observeLoad})
+	running.Go(func() { load.Run(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
 	select {
 	case <-ctx.Done():
@@ -228,7 +237,7 @@
 	}
 	public, err = listener.Start(listener.Config{
 		Address: g.settings.CallerAddress(), TLS: g.settings.ServerTLS(),
-		Handler: http.HandlerFunc(g.serve), Failed: failed, IdleTimeout: idleTimeout,
+		Handler: http.HandlerFunc(g.serve), Failed: failed, IdleTimeout: idleTimeout, Tally: &g.tally,
 	})
 	return private, public, err
 }
@@ -236,11 +245,24 @@
 func (g *Gateway) ready() bool { return g.catalogue.Load() != nil && !g.draining.Load() }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.ready() {
+	if !g.ready() || g.offloading.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// observeLoad decides whether new connections are left to others.
+func (g *Gateway) observeLoad(context.Context) {
+	now := time.Now()
+	verdict := g.offloader.Observe(offloader.Sample{
+		At: now, Received: g.tally.Received(), Sent: g.tally.Sent(), Detached: g.spender.Detached(now),
+	})
+	_, leaving := verdict.(offloader.Leave)
+	if leaving != g.offloading.Swap(leaving) {
+		g.log.Info("readiness for new connections changed",
+			zap.Bool("ready", !leaving), zap.Float64("linkShare", g.offloader.Share()))
+	}
+}
+
 // runSweeps drops what is no longer used.
 func (g *Gateway) runSweeps(ctx context.Context) {
 	const sweepInterval = time.Second
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/tallier"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -23,6 +25,8 @@
 	Handler http.Handler
 	// Failed is called if serving ends by itself. Required.
 	Failed func(error)
+	// Tally, if set, counts the bytes of the connections.
+	Tally *tallier.Tally
 	// IdleTimeout is how long a connection may stay idle. Default: no limit.
 	IdleTimeout time.Duration
 }
@@ -40,6 +44,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", config.Address)
 	}
+	if config.Tally != nil {
+		socket = config.Tally.Listener(socket)
+	}
 	if config.TLS != nil {
 		socket = tls.NewListener(socket, config.TLS)
 	}
--- /dev/null
+++ b/internal/tallier/tallier_test.go
@@ -0,0 +1,56 @@
+package tallier_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"radishshed.example/radishshed/internal/tallier"
+)
+
+// Guards: bytes are counted by direction, on accepted and on opened connections.
+func TestBytesAreCountedByDirection(t *testing.T) {
+	var accepted, opened tallier.Tally
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := accepted.Listener(socket)
+	defer l.Close()
+	dialed, err := net.Dial("tcp", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := opened.Connection(dialed)
+	defer client.Close()
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	if _, err := client.Write(make([]byte, 70)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(server, make([]byte, 70)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Write(make([]byte, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(client, make([]byte, 9)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name      string
+		got, want int64
+	}{
+		{"received by the server", accepted.Received(), 70},
+		{"sent by the server", accepted.Sent(), 9},
+		{"received by the client", opened.Received(), 9},
+		{"sent by the client", opened.Sent(), 70},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %d bytes, want %d", c.name, c.got, c.want)
+		}
+	}
+}
