spender: ceilings cover what is asked for while answers of control are slow

On a crowded link an answer takes 0.5 s, the ceiling lasted 0.5 s at the demand (which counts what has been spent, not what streams reserve), and a report asked for the largest waiting request, not for all. Change: a report asks for all requests that wait, and the ceiling covers two lags of what requests ask for. A router that a large caller newly reaches still gets grants only as fast as its requests end; not mended.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -333,7 +333,7 @@
 	if err != nil {
 		return err
 	}
-	g.spender.Take(grants, sentAt)
+	g.spender.Take(grants, sentAt, time.Now())
 	g.askedAbout = grants.Asked()
 	return nil
 }
--- a/internal/gateway/funding.go
+++ b/internal/gateway/funding.go
@@ -118,17 +118,19 @@
 	patience := time.Duration(patiencePart * float64(q.route.Aim()))
 	timer := time.NewTimer(min(max(patience, minPatience), maxPatience))
 	defer timer.Stop()
+	s.Await(q.organisation, tokens, time.Now())
+	defer func() { s.Leave(q.organisation, tokens, time.Now()) }()
 	for {
 		changed := s.Changed()
 		q.gateway.urgeReport()
-		verdict := s.Reserve(q.organisation, tokens, time.Now())
+		verdict := s.Retry(q.organisation, tokens, time.Now())
 		if _, short := verdict.(spender.Short); !short {
 			return verdict
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return s.Reserve(q.organisation, tokens, time.Now())
+			return s.Retry(q.organisation, tokens, time.Now())
 		case <-ctx.Done():
 			return verdict
 		}
--- a/internal/spender/spender.go
+++ b/internal/spender/spender.go
@@ -40,6 +40,12 @@
 	controlSilence = 800 * time.Millisecond
 	// detachedAfter is the silence of control after which it counts as cut off.
 	detachedAfter = 900 * time.Millisecond
+	// intakeSpan is the time constant of the average of what requests ask for.
+	intakeSpan = time.Second
+	// maxLag bounds for how long a ceiling has to last while an answer is under way.
+	maxLag = time.Second
+	// lagWeight is the weight of a new lag that is shorter than those before.
+	lagWeight = 0.3
 	// demandSpan is the time constant of the average of the demand.
 	demandSpan = 4 * time.Second
 	// ReportInterval is how often a router reports while it spends.
@@ -120,7 +126,9 @@
 	wantUntil time.Time
 	demand    float64 // tokens a second
 	demandAt  time.Time
-	reported  int64 // what the last report held as spent
+	intake    float64 // tokens a second that requests ask for
+	waiting   int64   // tokens of requests that wait for an answer of control
+	reported  int64   // what the last report held as spent
 }
 
 // Config configures a spender.
@@ -138,8 +146,9 @@
 	mutex    sync.Mutex
 	accounts map[string]*account
 	sequence uint64
-	sentAt   time.Time // of the newest report
-	ackedAt  time.Time // when the newest answered report was sent
+	sentAt   time.Time     // of the newest report
+	ackedAt  time.Time     // when the newest answered report was sent
+	lag      time.Duration // from a report to its answer; falls slowly
 	changed  chan struct{}
 	urgent   bool
 	// required are the witnesses of the newest report that control has answered
@@ -165,6 +174,18 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	a := s.account(organisation, now)
+	a.intake += float64(tokens) / intakeSpan.Seconds()
+	return s.reserve(a, tokens, now)
+}
+
+// Retry is Reserve for a request that has been told to be short before.
+func (s *Spender) Retry(organisation string, tokens int64, now time.Time) Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reserve(s.account(organisation, now), tokens, now)
+}
+
+func (s *Spender) reserve(a *account, tokens int64, now time.Time) Verdict {
 	detached := s.detached(now)
 	available := s.limit(a, now) - a.spent - a.reserved
 	if tokens <= available {
@@ -203,9 +224,42 @@
 		a.wantUntil = now.Add(wantLifetime)
 	}
 	a.reserved += part
+	a.intake += float64(part) / intakeSpan.Seconds()
 	return part
 }
 
+// ahead is what the router may come to reserve or spend until the report after this
+// one is answered, which takes two lags. While answers are slow, as on a crowded
+// link, that is much more than it has spent lately, since requests reserve the most
+// that they can consume.
+func (s *Spender) ahead(a *account) int64 {
+	lag := min(s.lag, maxLag)
+	return int64(max(a.demand*ceilingSpan.Seconds(), a.intake*2*lag.Seconds()))
+}
+
+// wanted is what the router has to hold for the requests that wait, or zero.
+func (a *account) wanted() int64 {
+	if a.waiting == 0 {
+		return 0
+	}
+	return a.reserved + a.waiting
+}
+
+// Await notes that a request for the tokens waits for an answer of control, until
+// Leave. The next report asks for the tokens of all that wait.
+func (s *Spender) Await(organisation string, tokens int64, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.account(organisation, now).waiting += tokens
+}
+
+// Leave ends what Await has noted.
+func (s *Spender) Leave(organisation string, tokens int64, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.account(organisation, now).waiting -= tokens
+}
+
 // Settle ends a reservation with what the request has cost. A request costs what
 // it reserved at most.
 func (s *Spender) Settle(organisation string, reserved, spent int64, now time.Time) {
@@ -257,6 +311,7 @@
 	}
 	if elapsed := now.Sub(a.demandAt); elapsed > 0 {
 		a.demand *= math.Exp(-elapsed.Seconds() / demandSpan.Seconds())
+		a.intake *= math.Exp(-elapsed.Seconds() / intakeSpan.Seconds())
 		a.demandAt = now
 	}
 	if now.After(a.wantUntil) {
@@ -371,12 +426,11 @@
 			a.returned = a.granted - a.spent
 		}
 		a.reported = a.spent
-		ahead := int64(a.demand * ceilingSpan.Seconds())
 		pace := int64(a.demand * paceRatio)
 		if c.Lender {
 			pace += int64(float64(a.granted-a.returned-a.spent) / lendingSpan.Seconds())
 		}
-		ceiling := a.spent + max(a.reserved+ahead, a.want)
+		ceiling := a.spent + max(a.reserved+s.ahead(a)+a.waiting, a.want)
 		// What is lower holds at once, since the answer that confirms it may be lost.
 		a.pace = min(a.pace, pace)
 		a.ceiling = min(a.ceiling, ceiling)
@@ -386,7 +440,7 @@
 			Returned:     a.returned,
 			Ceiling:      ceiling,
 			Pace:         pace,
-			Want:         a.want,
+			Want:         max(a.want, a.wanted()),
 			Demand:       int64(a.demand),
 		}))
 	}
@@ -398,10 +452,12 @@
 }
 
 // Take takes the answer to the report that was sent at the given time.
-func (s *Spender) Take(answer escrower.Answer, sentAt time.Time) {
+func (s *Spender) Take(answer escrower.Answer, sentAt, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	isNewest := answer.Sequence() == s.sequence
+	lag := now.Sub(sentAt)
+	s.lag = max(lag, s.lag+time.Duration(lagWeight*float64(lag-s.lag)))
 	if sentAt.After(s.ackedAt) {
 		s.ackedAt = sentAt
 	}
--- a/internal/spender/spender_test.go
+++ b/internal/spender/spender_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.spender.Take(answer, b.now)
+	b.spender.Take(answer, b.now, b.now)
 }
 
 // serve lets requests of the given size come at the rate for a time, with reports
@@ -164,3 +164,100 @@
 		t.Fatalf("part %d of %+v", part, after)
 	}
 }
+
+// reservation is what a request of crowded has set aside.
+type reservation struct {
+	endsAt time.Time
+	tokens int64
+}
+
+// waiter is a request of crowded that waits for an answer of control.
+type waiter struct {
+	until time.Time
+}
+
+// crowded is a router whose answers from control take long, since its link is full.
+type crowded struct {
+	*bench
+	lag      time.Duration
+	size     int64
+	answer   escrower.Answer
+	sentAt   time.Time
+	answerAt time.Time
+	open     []reservation
+	waiters  []waiter
+	refused  int
+}
+
+// exchange sends a report if none is under way, and takes an answer that has come.
+func (c *crowded) exchange() {
+	if !c.answerAt.IsZero() && !c.now.Before(c.answerAt) {
+		c.spender.Take(c.answer, c.sentAt, c.now)
+		c.answerAt = time.Time{}
+	}
+	if !c.answerAt.IsZero() || !c.spender.Due(c.now) {
+		return
+	}
+	answer, err := c.ledger.Apply(c.spender.Report(spender.ReportConfig{Now: c.now}), c.now.Add(c.lag/2))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.answer, c.sentAt, c.answerAt = answer, c.now, c.now.Add(c.lag)
+}
+
+// accept takes note of a request that has its tokens.
+func (c *crowded) accept(v spender.Verdict) bool {
+	if _, ok := v.(spender.Reserved); !ok {
+		return false
+	}
+	c.open = append(c.open, reservation{c.now.Add(2 * time.Second), c.size})
+	return true
+}
+
+// step lets waiting requests in or go, and ends those that are done.
+func (c *crowded) step() {
+	var waiting []waiter
+	for _, w := range c.waiters {
+		switch {
+		case c.accept(c.spender.Retry(organisation, c.size, c.now)):
+			c.spender.Leave(organisation, c.size, c.now)
+		case c.now.After(w.until):
+			c.spender.Leave(organisation, c.size, c.now)
+			c.refused++
+		default:
+			waiting = append(waiting, w)
+		}
+	}
+	c.waiters = waiting
+	for len(c.open) > 0 && !c.now.Before(c.open[0].endsAt) {
+		c.spender.Settle(organisation, c.open[0].tokens, c.open[0].tokens/3, c.now)
+		c.open = c.open[1:]
+	}
+}
+
+// Load: a large caller's requests reach one router and fill its link, so that answers
+// of control take half a second from then on. The budget has room for all of them.
+func TestSlowAnswersDoNotShrinkGrants(t *testing.T) {
+	const patience = 120 * time.Millisecond
+	c := &crowded{bench: newBench(t, 100_000_000), lag: 10 * time.Millisecond, size: 3000}
+	asked := 0
+	const warmUp = 3 * time.Second
+	start := c.now
+	for ; c.now.Sub(start) < 12*time.Second; c.now = c.now.Add(10 * time.Millisecond) {
+		c.exchange()
+		c.step()
+		if c.now.Sub(start) < warmUp {
+			asked, c.refused = 0, 0
+		} else {
+			c.lag = 500 * time.Millisecond
+		}
+		asked++
+		if !c.accept(c.spender.Reserve(organisation, c.size, c.now)) {
+			c.spender.Await(organisation, c.size, c.now)
+			c.waiters = append(c.waiters, waiter{c.now.Add(patience)})
+		}
+	}
+	if c.refused*50 > asked {
+		t.Fatalf("%d of %d refused while the budget has room, want at most one in 50", c.refused, asked)
+	}
+}
