timekeeper: times of reports and commands by the steady clock

Ruled out: late reports (routers served until the fault), slow starts (0.1 s). Change: a process takes the times that the ledger compares from its steady clock, as counted from the time of day at its start. A VM whose clock is wrong while a process starts on it keeps that error until its next start.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/timekeeper"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
@@ -146,6 +147,7 @@
 		replica:      replica,
 		journal:      journal,
 		state:        state,
+		clock:        timekeeper.New(time.Now()),
 		send:         c.sendReplicate,
 		applied:      c.applied,
 		publish:      func(s status) { c.status.Store(&s) },
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/timekeeper"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
@@ -87,6 +88,7 @@
 	journal *journaler.Journal
 	state   *applier.State
 	config  applier.Config
+	clock   timekeeper.Keeper // of the commands' times
 
 	send    func(replicator.Message)
 	applied func(*applier.State, applier.Command, applier.Result, bool)
@@ -150,7 +152,7 @@
 }
 
 func (r *replication) propose(in proposalInput) {
-	data, err := applier.EncodeCommand(in.command, time.Now())
+	data, err := applier.EncodeCommand(in.command, r.clock.Now())
 	if err != nil {
 		in.result <- proposalResult{err: err}
 		return
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -307,7 +307,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := g.clock.Now()
 	data, err := escrower.EncodeReport(g.spender.Report(spender.ReportConfig{
 		Now: sentAt, Ended: ended, Witnesses: g.chooseWitnesses(), Testimonies: g.testimonies(), Lender: g.lender.Load(),
 	}))
@@ -333,7 +333,7 @@
 	if err != nil {
 		return err
 	}
-	g.spender.Take(grants, sentAt, time.Now())
+	g.spender.Take(grants, sentAt, g.clock.Now())
 	g.askedAbout = grants.Asked()
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"radishshed.example/radishshed/internal/retrier"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/internal/tallier"
+	"radishshed.example/radishshed/internal/timekeeper"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
@@ -60,7 +61,7 @@
 	protocol  Protocol
 	log       *zap.Logger
 	process   identifier.Process
-	startedAt time.Time
+	clock     timekeeper.Keeper // of reports to control
 	metrics   metrics.Registry
 	meters    meters
 	timeline  *recorder.Timeline
@@ -102,7 +103,7 @@
 		protocol:  c.Protocol,
 		log:       c.Log,
 		process:   process,
-		startedAt: now,
+		clock:     timekeeper.New(now),
 		metrics:   metrics.NewRegistry(),
 		timeline:  recorder.NewTimeline(c.Settings.VM()),
 		placer:    placer.New(),
