gateway: log whether a target ended while it had a request

Gap: a line names the id of one attempt of a caller, so nothing says that two attempts are the same request, nor whether a target ended or only broke a connection. Only a refusal counts as an end; an overloaded or partitioned target does not answer at all. Measured: nothing yet; no decision changes.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,9 @@
 	// maxStrayBytes limits the body size of a response to another request.
 	maxStrayBytes     = 1 << 20
 	keepAliveInterval = 2 * time.Second
+	// refusalTimeout is how long Refuses waits for a target to refuse a connection. One
+	// whose process has ended does so within a round trip.
+	refusalTimeout = 300 * time.Millisecond
 )
 
 // Errors returned by Send.
@@ -298,6 +302,21 @@
 	e.idle[c.address] = append(e.idle[c.address], c)
 }
 
+// Refuses reports whether the address refuses connections, which means that no process
+// listens there. A target that does not answer at all may be overloaded or partitioned;
+// Refuses returns false for it.
+func (e *Exchanger) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	socket, err := e.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	e.connectionOpened()
+	_ = socket.Close() // nothing was sent
+	return false
+}
+
 // CloseIdle closes the connections that have been idle for at least maxIdleTime.
 func (e *Exchanger) CloseIdle(now time.Time) {
 	e.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	byteCounter                     bytecounter.ByteCounter // bytes of the connections of callers and targets
 	offloader                       *offloader.Offloader    // used only by the goroutine that observes the load
 	diverting                       atomic.Bool             // whether new connections are diverted to other routers
+	investigations                  chan struct{}           // holds an element for each running investigation
 }
 
 // New returns a gateway that is not running yet.
@@ -119,6 +120,7 @@
 		storedCeilings: ceilingstorer.New(ceilingstorer.Config{}),
 		spender:        spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
+		investigations: make(chan struct{}, maxInvestigations),
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -18,8 +18,11 @@
 	resumed     metrics.Counter
 	borrowed    metrics.Counter
 	connections metrics.Counter
-	firstByte   metrics.Histogram // milliseconds
-	duration    metrics.Histogram // milliseconds
+	// investigationsSkipped counts the failed attempts that were not investigated, since
+	// too many were under way.
+	investigationsSkipped metrics.Counter
+	firstByte             metrics.Histogram // milliseconds
+	duration              metrics.Histogram // milliseconds
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -37,7 +40,10 @@
 		resumed:     counter("streamsResumed"),
 		borrowed:    counter("requestsFundedByOthers"),
 		connections: counter("targetConnections"),
-		firstByte:   histogram("firstByteMilliseconds"),
-		duration:    histogram("requestMilliseconds"),
+
+		investigationsSkipped: counter("investigationsSkipped"),
+
+		firstByte: histogram("firstByteMilliseconds"),
+		duration:  histogram("requestMilliseconds"),
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -215,7 +215,11 @@
 // call releases the target if the attempt panics to abort the response.
 func (q *request) runAttempt(ctx context.Context, p *placer.Placement) result {
 	defer func() { p.Finish(placer.Abandoned{}, time.Now()) }()
+	startedAt := time.Now()
 	r := q.attempt(ctx, p)
+	if r.interrupted && p.AwaitsFirstEvent() {
+		q.investigate(p.Target(), startedAt)
+	}
 	p.Finish(r.outcome, time.Now())
 	return r
 }
@@ -285,8 +289,11 @@
 	outcome   placer.Outcome
 	responded bool // whether a response was sent to the caller
 	retry     bool // whether another attempt has been allowed
-	err       error
-	status    int
+	// interrupted is whether the target was sent the request and did not send a whole
+	// response, for a reason other than the deadline or the caller.
+	interrupted bool
+	err         error
+	status      int
 }
 
 // refusal returns the refusal that tells the caller why the last attempt failed.
@@ -374,5 +381,5 @@
 	if ctx.Err() != nil {
 		return result{outcome: placer.Abandoned{}, err: err}
 	}
-	return result{outcome: placer.Failed{}, err: err}
+	return result{outcome: placer.Failed{}, interrupted: true, err: err}
 }
