quarantiner: a request under which three targets have ended is sent to no other

Cause: gateways kept nothing about it. Each caller attempt, and each retry of a router, was a new request. The class of fault: what one router learns about a request, others do not know. The product's own router counts failures by fingerprint, but the gateway, written later, did not take that over. Ruled out: the routers' own retries alone (an attempt is at two targets at most). Change: routers report to all control VMs the ends of targets at which they had unanswered requests; control counts over all routers and spreads the verdict with the disseminator; its file outlasts a restart of everything. An answer to such a request lifts it. While control is away, routers report to each other.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,8 +19,10 @@
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/timekeeper"
+	"radishshed.example/radishshed/internal/verdictsharer"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
@@ -60,6 +62,8 @@
 	replication    *replication
 	inputs         chan<- input
 	routerActivity *routerActivity
+	quarantiner    *quarantiner.Quarantiner
+	verdicts       *verdictsharer.Sharer
 
 	routes        func(chi.Router, *Controller)
 	startedAt     uint64 // Unix time in nanoseconds
@@ -102,12 +106,12 @@
 		member:         member,
 		metrics:        metrics.NewRegistry(),
 		timeline:       recorder.NewTimeline(config.Settings.VM()),
-		disseminator:   disseminator.New(disseminator.Config{}),
 		routerActivity: newRouterActivity(),
 
 		routes:    config.Routes,
 		startedAt: uint64(time.Now().UnixNano()),
 	}
+	c.openQuarantine()
 	c.status.Store(&status{})
 	c.configuration.Store(&archiver.Configuration{})
 	c.catalogue.Store(&cataloguer.Record{})
@@ -202,6 +206,8 @@
 	tasks := repeater.New(repeater.Config{Interval: taskInterval, Step: c.runPeriodicTasks})
 	running.Go(func() { tasks.Run(serving) })
 	running.Go(func() { c.runDiscovery(serving) })
+	running.Go(func() { c.runQuarantine(serving) })
+	running.Go(func() { c.runQuarantineFile(serving) })
 	members := repeater.New(repeater.Config{Interval: membershipInterval, Step: c.maintainMembership})
 	running.Go(func() { members.Run(serving) })
 	select {
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -42,6 +42,8 @@
 		return nil, c.enqueue(ctx, messageInput{message})
 	case messenger.Updates:
 		return nil, c.disseminator.Receive(updatesLink{from}, body)
+	case messenger.CrashNotice:
+		return nil, c.verdicts.ReceiveCrashes(body, time.Now())
 	case messenger.Batch:
 		return c.handleBatch(ctx, body)
 	case messenger.ConfigurationRequest:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,10 +29,12 @@
 	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/retrier"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/internal/timekeeper"
+	"radishshed.example/radishshed/internal/verdictsharer"
 	"radishshed.example/radishshed/pkg/coordination/ceilingstorer"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
@@ -101,6 +103,8 @@
 	offloader                       *offloader.Offloader    // used only by the goroutine that observes the load
 	diverting                       atomic.Bool             // whether new connections are diverted to other routers
 	investigations                  chan struct{}           // holds an element for each running investigation
+	quarantiner                     *quarantiner.Quarantiner
+	verdicts                        *verdictsharer.Sharer
 }
 
 // New returns a gateway that is not running yet.
@@ -130,6 +134,8 @@
 	g.Reload(c.Settings)
 	g.exchanger = exchanger.New(exchanger.Config{ConnectionOpened: func() { g.meters.connections.Inc(1) }, ByteCounter: &g.byteCounter})
 	g.disseminator = disseminator.New(disseminator.Config{OnChange: g.handleEntries})
+	g.quarantiner = quarantiner.New(quarantiner.Config{VM: c.Settings.VM()})
+	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
 	retries := c.Settings.RetryBudget()
 	window := retries.Window()
 	if window == 0 {
@@ -183,6 +189,7 @@
 	running.Go(func() { g.reportRepeater.Run(serving) })
 	running.Go(func() { g.ceilingRepeater.Run(serving) })
 	running.Go(func() { g.runCleanup(serving) })
+	running.Go(func() { g.runQuarantine(serving) })
 	load := repeater.New(repeater.Config{Interval: linkLoadInterval, Step: g.observeLoad})
 	running.Go(func() { load.Run(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
--- a/internal/gateway/investigation.go
+++ b/internal/gateway/investigation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,17 +18,15 @@
 // investigation finds out whether a target has ended while it had a request. A response
 // that breaks off does not tell: connections are also reset on the way.
 type investigation struct {
-	gateway     *Gateway
-	requestID   string
-	fingerprint quarantiner.Fingerprint
-	target      selector.Announcement
-	startedAt   time.Time // when the request was sent to the target
-	endedAt     time.Time // when its connection ended
+	gateway   *Gateway
+	requestID string
+	address   string // of the target
+	crash     quarantiner.CrashConfig
 }
 
 // investigate starts an investigation of an attempt that ended before anything of the
 // response had arrived.
-func (q *request) investigate(target selector.Announcement, startedAt time.Time) {
+func (q *request) investigate(target selector.Announcement) {
 	g := q.gateway
 	select {
 	case g.investigations <- struct{}{}:
@@ -36,23 +35,22 @@
 		return
 	}
 	i := investigation{
-		gateway: g, requestID: q.metadata.ID(), fingerprint: q.fingerprint(),
-		target: target, startedAt: startedAt, endedAt: time.Now(),
+		gateway: g, requestID: q.metadata.ID(), address: target.Address(),
+		crash: quarantiner.CrashConfig{
+			Target:  target.Name() + "@" + strconv.FormatUint(target.Incarnation(), 36),
+			Request: q.fingerprint(), StartedAt: q.sentAt, EndedAt: time.Now(),
+		},
 	}
 	go i.run(context.WithoutCancel(q.http.Context()))
 }
 
 func (i investigation) run(ctx context.Context) {
 	defer func() { <-i.gateway.investigations }()
-	ended := i.gateway.exchanger.Refuses(ctx, i.target.Address())
+	ended := i.gateway.exchanger.Refuses(ctx, i.address)
 	i.gateway.log.Info("target broke off a request before its response", zap.Bool("targetEnded", ended),
-		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.fingerprint),
-		zap.String("target", i.target.Name()), zap.Uint64("incarnation", i.target.Incarnation()),
-		zap.Duration("ran", i.endedAt.Sub(i.startedAt)), zap.Duration("age", time.Since(i.endedAt)))
-}
-
-func (q *request) fingerprint() quarantiner.Fingerprint {
-	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{
-		Organisation: q.organisation, Method: q.http.Method, Host: q.http.Host, URI: q.http.RequestURI, Body: q.body,
-	})
+		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.crash.Request), zap.String("target", i.crash.Target),
+		zap.Duration("ran", i.crash.EndedAt.Sub(i.crash.StartedAt)), zap.Duration("age", time.Since(i.crash.EndedAt)))
+	if ended {
+		i.gateway.recordCrash(quarantiner.NewCrash(i.crash))
+	}
 }
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -53,6 +53,7 @@
 func (g *Gateway) connected(p *linker.Peer) {
 	if p.Identity().Role() == linker.Control {
 		g.disseminator.AddLink(updatesLink{p})
+		g.sendCrashes(g.quarantiner.Crashes(maxRepeatedCrashes), []*linker.Peer{p})
 	}
 }
 
@@ -178,8 +179,10 @@
 // recently.
 func (g *Gateway) inLeaseGrace(now time.Time) bool { return now.UnixNano() < g.leaseGraceEndsAt.Load() }
 
-// handleEntries passes the target announcements among the received entries to the placer.
+// handleEntries passes the target announcements among the received entries to the placer,
+// and the verdicts to the quarantiner.
 func (g *Gateway) handleEntries(entries []disseminator.Entry) {
+	g.verdicts.Apply(entries, time.Now())
 	for _, e := range entries {
 		if !selector.IsTarget(e) {
 			continue
@@ -225,6 +228,8 @@
 			g.placer.RecordRemotePrefill(reading.Target(), reading.Duration(), reading.DelaysStreams(), time.Now())
 		}
 		return nil, err
+	case messenger.CrashNotice:
+		return nil, g.verdicts.ReceiveCrashes(body, time.Now())
 	case messenger.ConfigurationNotice:
 		return nil, nil // a gateway does not use tickets
 	default:
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/quarantiner"
+	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/verdictsharer"
+	"radishshed.example/radishshed/pkg/coordination/repeater"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	quarantineInterval = 200 * time.Millisecond
+	// maxRepeatedCrashes limits the evidence that a control VM receives over a new link.
+	maxRepeatedCrashes = 64
+)
+
+// subjects returns what may be barred about the request.
+func (q *request) subjects() []quarantiner.Subject {
+	if q.cachedSubjects == nil {
+		q.cachedSubjects = []quarantiner.Subject{quarantiner.NewWholeRequest(q.fingerprint())}
+	}
+	return q.cachedSubjects
+}
+
+func (q *request) fingerprint() quarantiner.Fingerprint {
+	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{
+		Organisation: q.organisation, Method: q.http.Method, Host: q.http.Host, URI: q.http.RequestURI, Body: q.body,
+	})
+}
+
+// quarantineRefusal returns a refusal if targets have ended under such requests.
+func (q *request) quarantineRefusal() *refusal {
+	if !q.gateway.quarantiner.Watching() {
+		return nil
+	}
+	now := time.Now()
+	v, barred := q.gateway.quarantiner.Find(q.subjects(), now)
+	if !barred {
+		return nil
+	}
+	return newRefusal(http.StatusServiceUnavailable, "quarantined", v.ExpiresAt().Sub(now), verdictsharer.Fields(v, now)...)
+}
+
+// recordAnswered records that the target has begun to answer the request, or has answered
+// it: the target did not end under it.
+func (q *request) recordAnswered(p *placer.Placement) {
+	now := time.Now()
+	if q.gateway.quarantiner.Watching() && p.AwaitsFirstEvent() {
+		q.gateway.verdicts.RecordAnswered(q.subjects(), q.sentAt, now)
+	}
+	p.RecordFirstEvent(now)
+}
+
+// recordCrash records that a target has ended while it had a request of this router, and
+// tells those who decide.
+func (g *Gateway) recordCrash(c quarantiner.Crash) {
+	now := time.Now()
+	g.quarantiner.RecordCrash(c, now)
+	peers := g.controlPeers()
+	if g.spender.Disconnected(now) || len(peers) == 0 {
+		peers = append(peers, g.lenderPeers()...)
+	}
+	g.sendCrashes([]quarantiner.Crash{c}, peers)
+}
+
+func (g *Gateway) sendCrashes(crashes []quarantiner.Crash, peers []*linker.Peer) {
+	if len(crashes) == 0 {
+		return
+	}
+	data, err := quarantiner.EncodeCrashes(crashes, time.Now())
+	if err != nil {
+		g.log.Warn("cannot encode the ends of targets", recorder.Err(err))
+		return
+	}
+	for _, peer := range peers {
+		if err := peer.Notify(messenger.CrashNotice, data); err != nil {
+			g.log.Debug("cannot send the ends of targets", zap.Stringer("peer", peer.Identity().Process()), recorder.Err(err))
+		}
+	}
+}
+
+// runQuarantine decides by the evidence of this router and its peers while control cannot.
+// Control, which knows the evidence of all routers, decides otherwise: who knows part of it
+// may blame a request for what another one did.
+func (g *Gateway) runQuarantine(ctx context.Context) {
+	repeater.New(repeater.Config{Interval: quarantineInterval, Step: func(context.Context) {
+		now := time.Now()
+		if g.spender.Disconnected(now) || len(g.controlPeers()) == 0 {
+			g.verdicts.Decide(now)
+		}
+	}}).Run(ctx)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
@@ -47,10 +48,13 @@
 	organisation string
 	priority     int
 	body         []byte
+	// cachedSubjects is what subjects returns, once it has been computed.
+	cachedSubjects []quarantiner.Subject
 
 	reservation     reservation
-	mayHaveRun      bool // whether a target may have run the request
-	attempts        int  // number of targets that the request was sent to
+	mayHaveRun      bool      // whether a target may have run the request
+	attempts        int       // number of targets that the request was sent to
+	sentAt          time.Time // when the last attempt began
 	excluded        []string
 	responseStarted bool // whether the response to the caller has begun
 	deliveredTokens int64
@@ -114,7 +118,10 @@
 	if !ok {
 		return newRefusal(http.StatusServiceUnavailable, "noService", startingRetryAfter)
 	}
-	return q.readBody()
+	if r := q.readBody(); r != nil {
+		return r
+	}
+	return q.quarantineRefusal()
 }
 
 // limitWriting makes writes to the caller fail soon after the request's deadline, so that
@@ -176,6 +183,10 @@
 func (q *request) run(ctx context.Context) {
 	unreachable := 0
 	for {
+		if r := q.quarantineRefusal(); r != nil {
+			q.giveUp(r)
+			return
+		}
 		placement, err := q.choosePlacement()
 		if err != nil {
 			q.giveUp(placementRefusal(err))
@@ -215,10 +226,10 @@
 // call releases the target if the attempt panics to abort the response.
 func (q *request) runAttempt(ctx context.Context, p *placer.Placement) result {
 	defer func() { p.Finish(placer.Abandoned{}, time.Now()) }()
-	startedAt := time.Now()
+	q.sentAt = time.Now()
 	r := q.attempt(ctx, p)
 	if r.interrupted && p.AwaitsFirstEvent() {
-		q.investigate(p.Target(), startedAt)
+		q.investigate(p.Target())
 	}
 	p.Finish(r.outcome, time.Now())
 	return r
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return q.interruptedResult(ctx, err)
 	}
-	p.RecordFirstEvent(time.Now())
+	q.recordAnswered(p)
 	failed := response.Status() >= http.StatusInternalServerError
 	r := result{outcome: placer.Served{}, status: response.Status()}
 	if failed {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -48,7 +47,7 @@
 
 // recordProgress records an event that is about to be sent to the caller.
 func (q *request) recordProgress(event eventreader.Event, p *placer.Placement, stall *stallDetector) {
-	p.RecordFirstEvent(time.Now())
+	q.recordAnswered(p)
 	stall.recordProgress()
 	if id := event.ID(); id != "" {
 		q.lastEventID = id
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -83,6 +83,9 @@
 	WitnessRequest
 	// PrefillNotice is a notice that carries a Prefill.
 	PrefillNotice
+	// CrashNotice is a notice that carries ends of targets that a router has observed
+	// (package quarantiner).
+	CrashNotice
 )
 
 // Response is a control VM's response to a call: either a result or a redirect to
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -1,4 +1,3 @@
-// Package quarantiner identifies requests that make targets end.
 package quarantiner
 
 import (
