quarantiner: segments of prompts under which targets end are sent to no other target

Cause: what such requests have in common is a part of their prompts. Nothing counted by that: each request was a new one to the quarantine of whole requests. At each end one unanswered request of the same organisation and route. Change: a crash also names the shared segments; the subject is the set of segments that all requests at the ends have in common. Suspected for a second before it is barred, so that any router can report an answered request. Ends under something barred clear the rest.

--- a/internal/gateway/investigation.go
+++ b/internal/gateway/investigation.go
@@ -38,7 +38,7 @@
 		gateway: g, requestID: q.metadata.ID(), address: target.Address(),
 		crash: quarantiner.CrashConfig{
 			Target:  target.Name() + "@" + strconv.FormatUint(target.Incarnation(), 36),
-			Request: q.fingerprint(), StartedAt: q.sentAt, EndedAt: time.Now(),
+			Request: q.identity(), StartedAt: q.sentAt, EndedAt: time.Now(),
 		},
 	}
 	go i.run(context.WithoutCancel(q.http.Context()))
@@ -48,7 +48,7 @@
 	defer func() { <-i.gateway.investigations }()
 	ended := i.gateway.exchanger.Refuses(ctx, i.address)
 	i.gateway.log.Info("target broke off a request before its response", zap.Bool("targetEnded", ended),
-		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.crash.Request), zap.String("target", i.crash.Target),
+		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.crash.Request.Fingerprint()), zap.String("target", i.crash.Target),
 		zap.Duration("ran", i.crash.EndedAt.Sub(i.crash.StartedAt)), zap.Duration("age", time.Since(i.crash.EndedAt)))
 	if ended {
 		i.gateway.recordCrash(quarantiner.NewCrash(i.crash))
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -22,12 +22,26 @@
 	maxRepeatedCrashes = 64
 )
 
-// subjects returns what may be barred about the request.
-func (q *request) subjects() []quarantiner.Subject {
-	if q.cachedSubjects == nil {
-		q.cachedSubjects = []quarantiner.Subject{quarantiner.NewWholeRequest(q.fingerprint())}
+// identity returns what the quarantiner needs to know about the request.
+func (q *request) identity() quarantiner.Request {
+	if q.cachedIdentity == nil {
+		r := quarantiner.NewRequest(q.fingerprint(), q.sharedSegments())
+		q.cachedIdentity = &r
 	}
-	return q.cachedSubjects
+	return *q.cachedIdentity
+}
+
+// sharedSegments returns the segments of the prompt that other requests may share.
+func (q *request) sharedSegments() []uint64 {
+	segments := q.metadata.config.Segments
+	if len(segments) == 0 {
+		return nil
+	}
+	var ids []uint64
+	for _, s := range segments[:len(segments)-1] {
+		ids = append(ids, s.ID())
+	}
+	return ids
 }
 
 func (q *request) fingerprint() quarantiner.Fingerprint {
@@ -42,7 +56,7 @@
 		return nil
 	}
 	now := time.Now()
-	v, barred := q.gateway.quarantiner.Find(q.subjects(), now)
+	v, barred := q.gateway.quarantiner.Find(q.identity(), now)
 	if !barred {
 		return nil
 	}
@@ -54,7 +68,7 @@
 func (q *request) recordAnswered(p *placer.Placement) {
 	now := time.Now()
 	if q.gateway.quarantiner.Watching() && p.AwaitsFirstEvent() {
-		q.gateway.verdicts.RecordAnswered(q.subjects(), q.sentAt, now)
+		q.gateway.verdicts.RecordAnswered(q.identity(), q.sentAt, now)
 	}
 	p.RecordFirstEvent(now)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,8 +48,8 @@
 	organisation string
 	priority     int
 	body         []byte
-	// cachedSubjects is what subjects returns, once it has been computed.
-	cachedSubjects []quarantiner.Subject
+	// cachedIdentity is what identity returns, once it has been computed.
+	cachedIdentity *quarantiner.Request
 
 	reservation     reservation
 	mayHaveRun      bool      // whether a target may have run the request
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -45,6 +45,9 @@
 // contents.
 func NewSegment(id uint64, tokens int64) Segment { return Segment{id, tokens} }
 
+// ID returns the identifier of the segment.
+func (s Segment) ID() uint64 { return s.id }
+
 // Tokens returns the length of the segment in tokens.
 func (s Segment) Tokens() int64 { return s.tokens }
 
--- a/internal/quarantiner/codec.go
+++ b/internal/quarantiner/codec.go
@@ -20,7 +20,8 @@
 type wireCrash struct {
 	_                struct{} `cbor:",toarray"`
 	Target           string
-	Request          Fingerprint
+	Fingerprint      Fingerprint
+	Segments         []uint64
 	StartedAgeMillis int64
 	EndedAgeMillis   int64
 }
@@ -31,7 +32,7 @@
 	wire := make([]wireCrash, 0, len(crashes))
 	for _, c := range crashes {
 		wire = append(wire, wireCrash{
-			Target: c.config.Target, Request: c.config.Request,
+			Target: c.config.Target, Fingerprint: c.config.Request.fingerprint, Segments: c.config.Request.segments,
 			StartedAgeMillis: now.Sub(c.config.StartedAt).Milliseconds(), EndedAgeMillis: now.Sub(c.config.EndedAt).Milliseconds(),
 		})
 	}
@@ -49,11 +50,11 @@
 	}
 	crashes := make([]Crash, 0, len(wire))
 	for _, w := range wire {
-		if w.Target == "" || len(w.Target) > maxNameBytes || w.EndedAgeMillis < 0 || w.StartedAgeMillis < w.EndedAgeMillis {
+		if w.Target == "" || len(w.Target) > maxNameBytes || len(w.Segments) > MaxSegments || w.EndedAgeMillis < 0 || w.StartedAgeMillis < w.EndedAgeMillis {
 			return nil, errors.Errorf("malformed crash of target %q", w.Target)
 		}
 		crashes = append(crashes, NewCrash(CrashConfig{
-			Target: w.Target, Request: w.Request,
+			Target: w.Target, Request: NewRequest(w.Fingerprint, w.Segments),
 			StartedAt: now.Add(-milliseconds(w.StartedAgeMillis)), EndedAt: now.Add(-milliseconds(w.EndedAgeMillis)),
 		}))
 	}
@@ -76,7 +77,7 @@
 
 // Entry returns the disseminator entry of a verdict.
 func (v Verdict) Entry() (disseminator.Entry, error) {
-	decidedAt := v.expiresAt.Add(-v.state.lifetime())
+	decidedAt := v.decidedAt()
 	w := wireVerdict{
 		Targets:           v.targets,
 		FirstEndAgeMillis: decidedAt.Sub(v.firstEndAt).Milliseconds(), LastEndAgeMillis: decidedAt.Sub(v.lastEndAt).Milliseconds(),
--- a/internal/quarantiner/crash.go
+++ b/internal/quarantiner/crash.go
@@ -10,8 +10,8 @@
 type CrashConfig struct {
 	// Target names the run of the target that ended: its name and incarnation. Required.
 	Target string
-	// Request is the fingerprint of a request that the target had. Required.
-	Request Fingerprint
+	// Request is a request that the target had. Required.
+	Request Request
 	// StartedAt is when the request was sent to the target, and EndedAt when its
 	// connection ended. Required.
 	StartedAt, EndedAt time.Time
@@ -25,11 +25,10 @@
 // NewCrash returns a crash with the given fields.
 func NewCrash(c CrashConfig) Crash { return Crash{c} }
 
-// subjects returns what the crash is evidence against.
-func (c Crash) subjects() []Subject { return []Subject{WholeRequest{c.config.Request}} }
-
-// has reports whether the crash is evidence against the subject.
-func (c Crash) has(s Subject) bool { return slices.Contains(c.subjects(), s) }
+// sameAs reports whether the other crash is the same observation.
+func (c Crash) sameAs(other Crash) bool {
+	return c.config.Target == other.config.Target && c.config.Request.fingerprint == other.config.Request.fingerprint
+}
 
 // targetEnd is one end of a target, with the crashes that were observed at it.
 type targetEnd struct {
@@ -41,17 +40,25 @@
 
 // groupByTarget returns the ends of targets that the crashes describe, oldest first.
 func groupByTarget(crashes []Crash) []targetEnd {
-	index := map[string]int{}
-	var ends []targetEnd
+	byTarget := map[string][]Crash{}
 	for _, c := range crashes {
-		i, known := index[c.config.Target]
-		if !known {
-			index[c.config.Target] = len(ends)
-			ends = append(ends, targetEnd{c.config.Target, c.config.StartedAt, c.config.EndedAt, []Crash{c}})
-			continue
-		}
-		e := &ends[i]
-		e.crashes = append(e.crashes, c)
+		byTarget[c.config.Target] = append(byTarget[c.config.Target], c)
+	}
+	var ends []targetEnd
+	for _, observed := range byTarget {
+		ends = append(ends, newTargetEnd(observed))
+	}
+	slices.SortFunc(ends, func(a, b targetEnd) int {
+		return cmp.Or(a.endedAt.Compare(b.endedAt), cmp.Compare(a.target, b.target))
+	})
+	return ends
+}
+
+// newTargetEnd returns the end of a target that the crashes, at least one, describe.
+func newTargetEnd(crashes []Crash) targetEnd {
+	first := crashes[0].config
+	e := targetEnd{first.Target, first.StartedAt, first.EndedAt, crashes}
+	for _, c := range crashes[1:] {
 		if c.config.StartedAt.After(e.startedAt) {
 			e.startedAt = c.config.StartedAt
 		}
@@ -59,10 +66,32 @@
 			e.endedAt = c.config.EndedAt
 		}
 	}
-	slices.SortFunc(ends, func(a, b targetEnd) int {
-		return cmp.Or(a.endedAt.Compare(b.endedAt), cmp.Compare(a.target, b.target))
-	})
-	return ends
+	return e
+}
+
+// has reports whether the target had a request that the subject covers.
+func (e targetEnd) has(s Subject) bool {
+	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return s.covers(c.config.Request) })
+}
+
+// requests returns the fingerprints of the requests that the target had.
+func (e targetEnd) requests() map[Fingerprint]bool {
+	requests := map[Fingerprint]bool{}
+	for _, c := range e.crashes {
+		requests[c.config.Request.fingerprint] = true
+	}
+	return requests
+}
+
+// segments returns the segments of the requests that the target had.
+func (e targetEnd) segments() map[uint64]bool {
+	segments := map[uint64]bool{}
+	for _, c := range e.crashes {
+		for _, id := range c.config.Request.segments {
+			segments[id] = true
+		}
+	}
+	return segments
 }
 
 // independentEnds returns the ends that are independent of those before them. Targets that
@@ -81,3 +110,18 @@
 	}
 	return counted
 }
+
+// commonSegments returns the segments that all requests at the ends have, in no order.
+func commonSegments(ends []targetEnd) []uint64 {
+	var common []uint64
+	for i, e := range ends {
+		for j, c := range e.crashes {
+			if i == 0 && j == 0 {
+				common = slices.Clone(c.config.Request.segments)
+				continue
+			}
+			common = slices.DeleteFunc(common, func(id uint64) bool { return !slices.Contains(c.config.Request.segments, id) })
+		}
+	}
+	return common
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -2,15 +2,16 @@
 // end under them.
 //
 // The load that it answers: a request makes every target end that begins to run it, and
-// its caller sends it again, to any router. Without a common memory it ends one target
-// after another, as fast as they return, and all other requests of the service fail.
+// its caller sends it again, to any router; or a segment of a prompt does so, in requests
+// of which no two are alike. Without a common memory they end one target after another, as
+// fast as they return, and all other requests of the service fail.
 //
 // Evidence are ends of targets, each with the requests that a target had and had not begun
 // to answer (Crash). Most of these requests are sound and were at the target by chance. A
-// subject is barred when maxEnds targets have ended under it, independently of each other,
-// and no request with it was answered in between. An answered request lifts the suspicion,
-// so that a request that many callers send is not barred when targets end for another
-// reason.
+// subject (a whole request, or a set of segments) is barred when maxEnds targets have ended
+// under it, independently of each other, and no request that it covers was answered in
+// between. An answered request lifts the suspicion, so that a request that many callers send
+// is not barred when targets end for another reason.
 //
 // Who decides sees the crashes of all routers (package verdictsharer). A Quarantiner reads
 // no clock and sends no messages.
@@ -27,10 +28,16 @@
 const (
 	// maxEnds is how many targets may end under a subject before it is barred.
 	maxEnds = 3
+	// minRequests is how many different requests there must be among them before segments
+	// are barred.
+	minRequests = 2
+	// MaxSegments is the number of segments of a prompt that are judged: the first ones,
+	// which most requests share.
+	MaxSegments = 16
 	// commonCauseWindow is the time within which ends of targets may have a common cause.
 	commonCauseWindow = 250 * time.Millisecond
-	// observationPeriod is how long after the first end a subject is barred at the
-	// earliest, so that routers can report a request that was answered since.
+	// observationPeriod is how long a subject is suspected before it is barred, so that
+	// routers can report a request that was answered since the first end.
 	observationPeriod = time.Second
 	// crashRetention and maxCrashes limit the evidence that is kept.
 	crashRetention = 10 * time.Minute
@@ -40,7 +47,7 @@
 	suspicionLifetime = time.Minute
 	// maxVerdicts limits the verdicts that are kept. Beyond it, those that expire first
 	// are forgotten.
-	maxVerdicts = 1024
+	maxVerdicts = 256
 )
 
 // Config configures a Quarantiner.
@@ -58,6 +65,8 @@
 	mutex    sync.Mutex
 	crashes  []Crash // oldest first by arrival
 	verdicts map[Subject]Verdict
+	// undecided is whether Decide may reach a new verdict.
+	undecided bool
 }
 
 // New returns a Quarantiner without evidence.
@@ -72,15 +81,14 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.crashes = slices.DeleteFunc(q.crashes, func(old Crash) bool { return now.Sub(old.config.EndedAt) > crashRetention })
-	for _, old := range q.crashes {
-		if old.config.Target == c.config.Target && old.config.Request == c.config.Request {
-			return
-		}
+	if slices.ContainsFunc(q.crashes, c.sameAs) {
+		return
 	}
 	if len(q.crashes) >= maxCrashes {
 		q.crashes = slices.Delete(q.crashes, 0, 1)
 	}
 	q.crashes = append(q.crashes, c)
+	q.undecided = true
 }
 
 // Crashes returns the newest of the evidence, at most the given number.
@@ -90,73 +98,13 @@
 	return slices.Clone(q.crashes[max(0, len(q.crashes)-limit):])
 }
 
-// Decide judges all subjects by the evidence and returns the verdicts that are new.
-func (q *Quarantiner) Decide(now time.Time) []Verdict {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	q.removeExpired(now)
-	var decided []Verdict
-	for _, s := range q.accused() {
-		ends := q.endsUnder(s)
-		state := judge(ends, now)
-		current, known := q.verdicts[s]
-		if state == 0 || known && now.Before(current.expiresAt) && current.state != Lifted && current.state >= state {
-			continue
-		}
-		v := q.newVerdict(s, state, ends, now)
-		q.store(v)
-		decided = append(decided, v)
-	}
-	return decided
-}
-
-// judge returns the state that the ends of targets under a subject call for, or zero.
-func judge(ends []targetEnd, now time.Time) State {
-	switch {
-	case len(ends) >= maxEnds && now.Sub(ends[0].endedAt) >= observationPeriod:
-		return Barred
-	case len(ends) >= maxEnds-1:
-		return Suspected
-	default:
-		return 0
-	}
-}
-
-// accused returns the subjects that there is evidence against, without repetition.
-func (q *Quarantiner) accused() []Subject {
-	seen := map[Subject]bool{}
-	var subjects []Subject
-	for _, c := range q.crashes {
-		for _, s := range c.subjects() {
-			if !seen[s] {
-				seen[s] = true
-				subjects = append(subjects, s)
-			}
-		}
-	}
-	return subjects
-}
-
-// endsUnder returns the independent ends of targets that count against the subject, oldest
-// first: those after the last request with it that was answered.
-func (q *Quarantiner) endsUnder(s Subject) []targetEnd {
-	soundSince := q.verdicts[s].soundSince
-	var against []Crash
-	for _, c := range q.crashes {
-		if c.has(s) && c.config.EndedAt.After(soundSince) {
-			against = append(against, c)
-		}
-	}
-	return independentEnds(groupByTarget(against))
-}
-
-func (q *Quarantiner) newVerdict(s Subject, state State, ends []targetEnd, now time.Time) Verdict {
+func (q *Quarantiner) newVerdict(c charge, state State, now time.Time) Verdict {
 	v := Verdict{
-		subject: s, state: state, epoch: q.nextEpoch(s, now), soundSince: q.verdicts[s].soundSince,
-		firstEndAt: ends[0].endedAt, lastEndAt: ends[len(ends)-1].endedAt,
+		subject: c.subject, state: state, epoch: q.nextEpoch(c.subject, now), soundSince: q.verdicts[c.subject].soundSince,
+		firstEndAt: c.ends[0].endedAt, lastEndAt: c.ends[len(c.ends)-1].endedAt,
 		expiresAt: now.Add(state.lifetime()), decidingVM: q.vm,
 	}
-	for _, e := range ends[:min(len(ends), maxEnds)] {
+	for _, e := range c.ends[:min(len(c.ends), maxEnds)] {
 		v.targets = append(v.targets, e.target)
 	}
 	return v
@@ -173,22 +121,23 @@
 	return max(current.epoch+1, uint64(now.Unix()))
 }
 
-// RecordAnswered records that requests with the subjects were answered, of which this one
-// was sent at the given time. It returns the verdicts that this lifts.
-func (q *Quarantiner) RecordAnswered(subjects []Subject, sentAt, now time.Time) []Verdict {
+// RecordAnswered records that a request was answered that was sent at the given time. It
+// returns the verdicts that this lifts.
+func (q *Quarantiner) RecordAnswered(r Request, sentAt, now time.Time) []Verdict {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var lifted []Verdict
-	for _, s := range subjects {
-		v, known := q.verdicts[s]
-		if !known || v.state == Lifted || !v.firstEndAt.Before(sentAt) {
+	for s, v := range q.verdicts {
+		if v.state == Lifted || !v.firstEndAt.Before(sentAt) || !s.covers(r) {
 			continue
 		}
 		v.state, v.soundSince, v.decidingVM = Lifted, sentAt, q.vm
 		v.expiresAt = now.Add(Lifted.lifetime())
-		q.store(v)
 		lifted = append(lifted, v)
 	}
+	for _, v := range lifted {
+		q.store(v)
+	}
 	return lifted
 }
 
@@ -208,25 +157,30 @@
 	return true
 }
 
-// Find returns the verdict that bars one of the subjects, if there is one.
-func (q *Quarantiner) Find(subjects []Subject, now time.Time) (Verdict, bool) {
+// Find returns the verdict that bars the request, if there is one.
+func (q *Quarantiner) Find(r Request, now time.Time) (Verdict, bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, s := range subjects {
-		if v, ok := q.verdicts[s]; ok && v.state == Barred && now.Before(v.expiresAt) {
+	for s, v := range q.verdicts {
+		if q.isBarred(s, now) && s.covers(r) {
 			return v, true
 		}
 	}
 	return Verdict{}, false
 }
 
+func (q *Quarantiner) isBarred(s Subject, now time.Time) bool {
+	v, ok := q.verdicts[s]
+	return ok && v.state == Barred && now.Before(v.expiresAt)
+}
+
 // Barred returns the verdicts that bar a subject, ordered by its name.
 func (q *Quarantiner) Barred(now time.Time) []Verdict {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var barred []Verdict
-	for _, v := range q.verdicts {
-		if v.state == Barred && now.Before(v.expiresAt) {
+	for s, v := range q.verdicts {
+		if q.isBarred(s, now) {
 			barred = append(barred, v)
 		}
 	}
@@ -236,6 +190,7 @@
 
 // store keeps a verdict, and forgets the one that expires first if there are too many.
 func (q *Quarantiner) store(v Verdict) {
+	q.undecided = true
 	q.verdicts[v.subject] = v
 	if len(q.verdicts) > maxVerdicts {
 		first := v
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -16,8 +16,8 @@
 	return quarantiner.NewFingerprint(quarantiner.FingerprintConfig{Method: "GET", Host: "shop.example", URI: "/look/x", Body: []byte(body)})
 }
 
-func subjects(body string) []quarantiner.Subject {
-	return []quarantiner.Subject{quarantiner.NewWholeRequest(fingerprint(body))}
+func request(body string, segments ...uint64) quarantiner.Request {
+	return quarantiner.NewRequest(fingerprint(body), segments)
 }
 
 // event is one step of a replay: a target ends under a request, or a request is answered.
@@ -38,11 +38,11 @@
 				continue
 			}
 			if e.target == "" {
-				q.RecordAnswered(subjects(e.request), at(e.sentAt), at(e.endedAt))
+				q.RecordAnswered(request(e.request), at(e.sentAt), at(e.endedAt))
 				continue
 			}
 			q.RecordCrash(quarantiner.NewCrash(quarantiner.CrashConfig{
-				Target: e.target, Request: fingerprint(e.request), StartedAt: at(e.sentAt), EndedAt: at(e.endedAt),
+				Target: e.target, Request: request(e.request), StartedAt: at(e.sentAt), EndedAt: at(e.endedAt),
 			}), at(now))
 		}
 		q.Decide(at(now))
@@ -111,7 +111,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			q := replay(c.events, c.until)
-			if _, barred := q.Find(subjects(c.request), at(c.until)); barred != c.barred {
+			if _, barred := q.Find(request(c.request), at(c.until)); barred != c.barred {
 				t.Errorf("barred: %t, want %t", barred, c.barred)
 			}
 		})
@@ -137,14 +137,14 @@
 	if !share(old) || !other.Watching() {
 		t.Fatal("the verdict is not new to the other process")
 	}
-	lifted := other.RecordAnswered(subjects("deadly"), at(300*ms), at(2500*ms))
+	lifted := other.RecordAnswered(request("deadly"), at(300*ms), at(2500*ms))
 	if len(lifted) != 1 || lifted[0].State() != quarantiner.Lifted {
 		t.Fatalf("lifted %v", lifted)
 	}
 	if share(old) {
 		t.Error("an old verdict comes back")
 	}
-	if _, barred := other.Find(subjects("deadly"), at(2500*ms)); barred {
+	if _, barred := other.Find(request("deadly"), at(2500*ms)); barred {
 		t.Error("still barred")
 	}
 	if !q.Apply(lifted[0]) {
@@ -186,7 +186,7 @@
 	for i := range 5000 {
 		now := at(time.Duration(i) * ms)
 		q.RecordCrash(quarantiner.NewCrash(quarantiner.CrashConfig{
-			Target: fmt.Sprintf("t-%d@1", i), Request: fingerprint(fmt.Sprint(i)), StartedAt: now.Add(-ms), EndedAt: now,
+			Target: fmt.Sprintf("t-%d@1", i), Request: request(fmt.Sprint(i)), StartedAt: now.Add(-ms), EndedAt: now,
 		}), now)
 	}
 	if n := len(q.Crashes(5000)); n > 512 {
@@ -194,14 +194,35 @@
 	}
 }
 
+// Guards against a decision that keeps control from its other work while very many targets
+// end.
+func BenchmarkDecide(b *testing.B) {
+	q := quarantiner.New(quarantiner.Config{VM: "control-1"})
+	for i := range 512 {
+		ended := at(time.Duration(i) * 10 * ms)
+		q.RecordCrash(quarantiner.NewCrash(quarantiner.CrashConfig{
+			Target: fmt.Sprintf("t-%d@1", i/4), Request: request(fmt.Sprint(i), sharedSegment, uint64(100+i%150)),
+			StartedAt: ended.Add(-5 * ms), EndedAt: ended,
+		}), ended)
+	}
+	now := at(time.Minute)
+	for b.Loop() {
+		now = now.Add(ms)
+		q.RecordCrash(quarantiner.NewCrash(quarantiner.CrashConfig{
+			Target: now.String(), Request: request(now.String(), sharedSegment), StartedAt: now.Add(-ms), EndedAt: now,
+		}), now)
+		q.Decide(now)
+	}
+}
+
 // Guards against messages of another version or of a broken process.
 func TestDecodeCrashes(t *testing.T) {
-	c := quarantiner.NewCrash(quarantiner.CrashConfig{Target: "a@1", Request: fingerprint("x"), StartedAt: at(0), EndedAt: at(100 * ms)})
+	c := quarantiner.NewCrash(quarantiner.CrashConfig{Target: "a@1", Request: request("x"), StartedAt: at(0), EndedAt: at(100 * ms)})
 	valid, err := quarantiner.EncodeCrashes([]quarantiner.Crash{c}, at(time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
-	backwards := quarantiner.NewCrash(quarantiner.CrashConfig{Target: "a@1", Request: fingerprint("x"), StartedAt: at(200 * ms), EndedAt: at(0)})
+	backwards := quarantiner.NewCrash(quarantiner.CrashConfig{Target: "a@1", Request: request("x"), StartedAt: at(200 * ms), EndedAt: at(0)})
 	invalid, err := quarantiner.EncodeCrashes([]quarantiner.Crash{backwards}, at(time.Second))
 	if err != nil {
 		t.Fatal(err)
@@ -219,3 +240,28 @@
 		}
 	}
 }
+
+// Guards against messages that a fleet of 390 routers cannot bear: the evidence and the
+// verdicts of one end of a target are within one second's 4 KB of a node.
+func TestMessageSizes(t *testing.T) {
+	const nodeBytes = 4 << 10
+	// controlVMs each send a verdict to every router.
+	const controlVMs = 5
+	c := quarantiner.NewCrash(quarantiner.CrashConfig{
+		Target: "i-b4158f5828@mvbcrraw", Request: request("x", 1<<63, 1<<62, 1<<61), StartedAt: at(0), EndedAt: at(time.Second),
+	})
+	data, err := quarantiner.EncodeCrashes([]quarantiner.Crash{c}, at(2*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := replayPrompts(taintedPrompts(3), 3*time.Second)
+	e, err := q.Barred(at(3 * time.Second))[0].Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdict := len(e.Key()) + len(e.Value())
+	t.Logf("a crash has %d bytes, a verdict %d", len(data), verdict)
+	if total := controlVMs * (len(data) + verdict); total > nodeBytes {
+		t.Errorf("%d bytes for a crash and a verdict", total)
+	}
+}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -76,6 +76,9 @@
 // DecidingVM returns the VM whose process has decided.
 func (v Verdict) DecidingVM() string { return v.decidingVM }
 
+// decidedAt returns when the verdict was reached.
+func (v Verdict) decidedAt() time.Time { return v.expiresAt.Add(-v.state.lifetime()) }
+
 // newerThan reports whether the verdict replaces the other one.
 func (v Verdict) newerThan(other Verdict) bool {
 	if v.epoch != other.epoch {
--- a/internal/verdictsharer/verdictsharer.go
+++ b/internal/verdictsharer/verdictsharer.go
@@ -55,8 +55,8 @@
 
 // RecordAnswered records an answered request that was sent at the given time, and publishes
 // the verdicts that it lifts.
-func (s *Sharer) RecordAnswered(subjects []quarantiner.Subject, sentAt, now time.Time) {
-	for _, v := range s.config.Quarantiner.RecordAnswered(subjects, sentAt, now) {
+func (s *Sharer) RecordAnswered(r quarantiner.Request, sentAt, now time.Time) {
+	for _, v := range s.config.Quarantiner.RecordAnswered(r, sentAt, now) {
 		s.Publish(v, now)
 	}
 }
