quarantiner: clearing the first segment of prompts leaves the others charged

Cause: after a segment was cleared by an answered request, the ends left for it can lead to the same set as another segment's, with fewer ends; whichever came last in the map was judged. Change: of charges against one set, that with the most ends holds.

--- a/internal/quarantiner/charge.go
+++ b/internal/quarantiner/charge.go
@@ -79,12 +79,16 @@
 
 // chargesAgainstSegments returns the charges against sets of segments: for each segment
 // the set of all segments that are at every end with it. A request with only some of them
-// may be sound. The largest sets are first, and among equals those with the most evidence.
+// may be sound. Of several charges against one set, that with the most ends holds: one of
+// its segments may have been cleared of the earlier ones. The largest sets are first, and
+// among equals those with the most evidence.
 func (e evidence) chargesAgainstSegments() []charge {
 	charges := map[Subject]charge{}
 	for id, ends := range e.segments {
 		c := e.chargeAgainstSegment(id, ends)
-		charges[c.subject] = c
+		if len(c.ends) >= len(charges[c.subject].ends) {
+			charges[c.subject] = c
+		}
 	}
 	return slices.SortedFunc(maps.Values(charges), func(a, b charge) int {
 		first, second := a.subject.(SegmentSet), b.subject.(SegmentSet)
--- a/internal/quarantiner/segment_test.go
+++ b/internal/quarantiner/segment_test.go
@@ -87,6 +87,9 @@
 			sent, sent + 300*ms, fmt.Sprintf("r-%d", i), []uint64{sharedSegment, deadlySegment, thread}, fmt.Sprintf("engine-%d@1", i),
 		})
 	}
+	// A sound request with the first segment is answered after the second end, and the
+	// third engine has no sound request.
+	cleared := append(taintedPrompts(3)[:5], promptEvent{1100 * ms, 1200 * ms, "answered", sound, ""})
 	answered := append(taintedPrompts(6), promptEvent{400 * ms, 900 * ms, "answered", sound, ""})
 	cases := []struct {
 		name     string
@@ -99,6 +102,7 @@
 		{"not before the third end", taintedPrompts(2), 5 * time.Second, deadly, false},
 		{"prompts with the same first segment go on", taintedPrompts(6), 6 * time.Second, sound, false},
 		{"and do so when one of them is answered", answered, 6 * time.Second, sound, false},
+		{"an answer that clears the first segment leaves the others charged", cleared, 2500 * ms, deadly, true},
 		{"the deadly one is barred nevertheless", answered, 6 * time.Second, deadly, true},
 		{"one request that comes again bars no segment", repeatedRequest, 6 * time.Second, []uint64{deadlySegment}, false},
 		{"requests that are barred themselves are evidence", wholeFirst, 6 * time.Second, deadly, true},
