gateway: small requests may borrow after a large one could not

Cause: after the lenders could not cover one request, none was asked for 250 ms for any request of the organisation, also one of a fifth of its size. What was left lay idle in many grants, and as it was not spent, 402 could not be proved. Ruled out: the quarantine; the refused requests had none of the barred segments. Change: the backoff holds for requests of the size that could not be covered or larger. Open: the last thousandth of a budget in many grants still cannot be spent or refused with 402.

--- a/internal/gateway/reservation.go
+++ b/internal/gateway/reservation.go
@@ -30,9 +30,9 @@
 	// maxLenders is how many routers are asked for a loan for one request.
 	maxLenders    = 10
 	lenderTimeout = 40 * time.Millisecond
-	// loanBackoff is how long no loans are requested for an organisation after the
-	// lenders could not cover one of its requests.
-	loanBackoff = 250 * time.Millisecond
+	// loanBackoffPeriod is how long no loans are requested for an organisation after the
+	// lenders could not cover one of its requests. Smaller requests are still tried.
+	loanBackoffPeriod = 250 * time.Millisecond
 	// loanLifetime is longer than the longest request.
 	loanLifetime = 30 * time.Second
 )
@@ -145,7 +145,7 @@
 // that were.
 func (q *request) borrow(ctx context.Context, tokens int64) bool {
 	g := q.gateway
-	if g.loans.inBackoff(q.organisation, time.Now()) {
+	if g.loans.inBackoff(q.organisation, tokens, time.Now()) {
 		return false
 	}
 	r := reservation{organisation: q.organisation, own: g.spender.ReserveUpTo(q.organisation, tokens, time.Now())}
@@ -161,7 +161,7 @@
 	}
 	if r.total() < tokens {
 		g.settle(r, 0)
-		g.loans.setBackoff(q.organisation, time.Now().Add(loanBackoff))
+		g.loans.setBackoff(q.organisation, tokens, time.Now())
 		return false
 	}
 	q.reservation = r
@@ -234,17 +234,24 @@
 // loanTable holds the loans that this router has granted to others and, for the loans that
 // it requests, their last identifier and the backoff of each organisation.
 type loanTable struct {
-	mutex        sync.Mutex
-	sequence     uint64
-	lent         map[loanKey]lentLoan
-	backoffUntil map[string]time.Time
+	mutex    sync.Mutex
+	sequence uint64
+	lent     map[loanKey]lentLoan
+	backoffs map[string]loanBackoff
 	// returned holds, with an expiry time, the loans whose return arrived before
 	// their request, since messages are handled concurrently.
 	returned map[loanKey]time.Time
 }
 
+// loanBackoff is the size of a request that the lenders could not cover, and until when
+// they are not asked again for one of this size or larger.
+type loanBackoff struct {
+	tokens int64
+	until  time.Time
+}
+
 func newLoanTable() *loanTable {
-	return &loanTable{lent: map[loanKey]lentLoan{}, backoffUntil: map[string]time.Time{}, returned: map[loanKey]time.Time{}}
+	return &loanTable{lent: map[loanKey]lentLoan{}, backoffs: map[string]loanBackoff{}, returned: map[loanKey]time.Time{}}
 }
 
 func (l *loanTable) nextID() uint64 {
@@ -254,16 +261,20 @@
 	return l.sequence
 }
 
-func (l *loanTable) inBackoff(organisation string, now time.Time) bool {
+// inBackoff reports whether the lenders could recently not cover a request of the
+// organisation that was not larger than this one.
+func (l *loanTable) inBackoff(organisation string, tokens int64, now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return now.Before(l.backoffUntil[organisation])
+	backoff := l.backoffs[organisation]
+	return now.Before(backoff.until) && tokens >= backoff.tokens
 }
 
-func (l *loanTable) setBackoff(organisation string, until time.Time) {
+// setBackoff records that the lenders could not cover a request of the organisation.
+func (l *loanTable) setBackoff(organisation string, tokens int64, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.backoffUntil[organisation] = until
+	l.backoffs[organisation] = loanBackoff{tokens, now.Add(loanBackoffPeriod)}
 }
 
 // handleLoanRequest reserves up to the requested number of tokens for a request of
