--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishshed.example/radishshed/internal/quarantiner"
+	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -265,3 +266,25 @@
 		t.Errorf("%d bytes for a crash and a verdict", total)
 	}
 }
+
+// Guards against verdicts of other processes that fill the memory of a router.
+func TestVerdictsAreBounded(t *testing.T) {
+	const maxKept = 256
+	q := quarantiner.New(quarantiner.Config{VM: "router-1"})
+	e, err := replay(repeated(), 2*time.Second).Barred(at(2 * time.Second))[0].Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 * maxKept {
+		v, err := quarantiner.VerdictFrom(disseminator.NewEntry(disseminator.EntryConfig{
+			Key: fmt.Sprintf("quarantine/segments/%016x", i), Version: e.Version(), Value: e.Value(), ExpiresAt: e.ExpiresAt(),
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Apply(v)
+	}
+	if kept := len(q.Barred(at(2 * time.Second))); kept > maxKept {
+		t.Errorf("%d verdicts are kept", kept)
+	}
+}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -8,12 +8,12 @@
 // The states, in the order in which a subject passes through them. A later state replaces
 // an earlier one of the same epoch in every process.
 const (
-	// Suspected subjects lack one end of a target before they are barred. Routers
-	// report when a request with such a subject is answered.
+	// Suspected subjects may soon be barred. Meanwhile all routers report whether a request
+	// that the subject covers is answered.
 	Suspected State = iota + 1
 	// Barred subjects are not sent to targets.
 	Barred
-	// Lifted subjects were suspected or barred, and then a request was answered.
+	// Lifted subjects were suspected or barred until a request that they cover was answered.
 	Lifted
 )
 
