--- a/internal/quarantiner/segment_test.go
+++ b/internal/quarantiner/segment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 	}
 	// A sound request with the first segment is answered after the second end, and the
 	// third engine has no sound request.
-	cleared := append(taintedPrompts(3)[:5], promptEvent{1100 * ms, 1200 * ms, "answered", sound, ""})
+	cleared := slices.Concat(taintedPrompts(3)[:5], []promptEvent{{1100 * ms, 1200 * ms, "answered", sound, ""}})
 	answered := append(taintedPrompts(6), promptEvent{400 * ms, 900 * ms, "answered", sound, ""})
 	cases := []struct {
 		name     string
