--- /dev/null
+++ b/internal/adviser/adviser.go
@@ -0,0 +1,88 @@
+// Package adviser holds what a target says about itself in a response, whatever the
+// response is: an answer to a request, the head of a stream, a refusal or the answer to a
+// probe.
+//
+// The protocols of targets differ in the names and places of these statements. Their
+// codecs return the types of this package. What a target tells one router applies to
+// requests of all routers.
+package adviser
+
+import (
+	"strconv"
+	"strings"
+)
+
+const (
+	// maxRate is the highest rate that is told apart from no limit, in requests a second.
+	maxRate = 1e9
+	// maxValueLength bounds the text of a rate.
+	maxValueLength = 32
+)
+
+// RateLimit is what a response says about the number of requests a second that the target
+// takes from all routers together. The interface is sealed: its only implementations are
+// NotStated, Malformed, Unlimited and Limited.
+type RateLimit interface{ isRateLimit() }
+
+// NotStated means that the response does not come from the target, and says nothing about
+// its limit.
+type NotStated struct{}
+
+// Malformed means that the statement cannot be read. It changes nothing.
+type Malformed struct{}
+
+// Unlimited means that the target names no limit. An earlier limit has ended.
+type Unlimited struct{}
+
+// Limited means that the target names a limit.
+type Limited struct{ rate float64 }
+
+func (NotStated) isRateLimit() {}
+func (Malformed) isRateLimit() {}
+func (Unlimited) isRateLimit() {}
+func (Limited) isRateLimit()   {}
+
+// NewLimited returns a limit in requests a second. A negative rate counts as zero.
+func NewLimited(rate float64) Limited { return Limited{min(max(0, rate), maxRate)} }
+
+// Rate returns the limit in requests a second, from 0 to 1e9.
+func (l Limited) Rate() float64 { return l.rate }
+
+// ParseRateLimit parses the values of the field of a response that names the limit, a
+// decimal number without a sign or an exponent. No value means that there is no limit.
+// Several values contradict each other and are malformed.
+func ParseRateLimit(values []string) RateLimit {
+	if len(values) == 0 {
+		return Unlimited{}
+	}
+	text := strings.TrimSpace(values[0])
+	if len(values) > 1 || len(text) > maxValueLength || text == "" || strings.Trim(text, "0123456789.") != "" {
+		return Malformed{}
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return Malformed{}
+	}
+	return NewLimited(rate)
+}
+
+// Config holds the fields of an Advice.
+type Config struct {
+	// RateLimit is the limit of requests a second. Default: NotStated.
+	RateLimit RateLimit
+}
+
+// Advice is what one response says about the target that sent it. The zero value says
+// nothing.
+type Advice struct{ config Config }
+
+// New returns an Advice with the given fields.
+func New(c Config) Advice { return Advice{c} }
+
+// RateLimit returns what the response says about the target's limit.
+func (a Advice) RateLimit() RateLimit {
+	if a.config.RateLimit == nil {
+		return NotStated{}
+	}
+	return a.config.RateLimit
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"radishshed.example/radishshed/internal/bytecounter"
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/exchanger"
+	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
@@ -105,6 +106,7 @@
 	investigations                  chan struct{}           // holds an element for each running investigation
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
+	limiter                         *limiter.Limiter
 }
 
 // New returns a gateway that is not running yet.
@@ -125,6 +127,7 @@
 		spender:        spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
 		investigations: make(chan struct{}, maxInvestigations),
+		limiter:        limiter.New(limiter.Config{VM: c.Settings.VM()}),
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
@@ -106,6 +107,8 @@
 	NotRun bool
 	// Load is the load of the target, or nil if the response does not report it.
 	Load *placer.Load
+	// Advice is what the target says about itself.
+	Advice adviser.Advice
 }
 
 // ResponseMetadata is the metadata that a target sends with its response.
@@ -120,5 +123,8 @@
 // Signed reports whether the response carries the target's signature.
 func (m ResponseMetadata) Signed() bool { return m.config.Signed }
 
+// Advice returns what the target says about itself.
+func (m ResponseMetadata) Advice() adviser.Advice { return m.config.Advice }
+
 // NotRun reports whether the target guarantees that the request has not run.
 func (m ResponseMetadata) NotRun() bool { return m.config.NotRun }
