limiter, gateway: each request to a target with a limit needs a permit

Cause: no router read what a target says of itself. Class: what a target tells one router binds that router at most, and the sum of what routers send is nobody's concern. Ruled out: bursts of routers that start (a restart changes nothing), routers that each keep to it (none does). Change: limits spread with the announcements, ordered by run of the target and number of changes. Each request to such a target needs a permit from its coordinator, a lender chosen by hash, that has one token bucket for it. Two more stand in at 1/4 and 1/16 of the rate, so that no partition lets through over 4/3. The rest goes elsewhere or is refused at once. Routers that cannot reach control keep the list of routers that they had.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	lastReportPeer                  atomic.Pointer[linker.Peer] // control VM that responded to the last report
 	isLender                        atomic.Bool                 // whether other routers request loans from this one
 	lenderVMs                       atomic.Pointer[map[string]bool]
+	lastRouters                     []disseminator.Entry // used only by the goroutine that maintains the membership
 	draining                        atomic.Bool
 	byteCounter                     bytecounter.ByteCounter // bytes of the connections of callers and targets
 	offloader                       *offloader.Offloader    // used only by the goroutine that observes the load
@@ -107,6 +108,7 @@
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
 	limiter                         *limiter.Limiter
+	coordinators                    *suspectList // coordinators of limits that have not answered
 }
 
 // New returns a gateway that is not running yet.
@@ -128,6 +130,7 @@
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
 		investigations: make(chan struct{}, maxInvestigations),
 		limiter:        limiter.New(limiter.Config{VM: c.Settings.VM()}),
+		coordinators:   &suspectList{until: map[string]time.Time{}},
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
@@ -193,6 +196,7 @@
 	running.Go(func() { g.ceilingRepeater.Run(serving) })
 	running.Go(func() { g.runCleanup(serving) })
 	running.Go(func() { g.runQuarantine(serving) })
+	running.Go(func() { g.runLimitReports(serving) })
 	load := repeater.New(repeater.Config{Interval: linkLoadInterval, Step: g.observeLoad})
 	running.Go(func() { load.Run(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
@@ -110,6 +111,11 @@
 			routers = append(routers, e)
 		}
 	}
+	if len(g.controlPeers()) == 0 && len(routers) < int(g.routerCount.Load()) {
+		// Announcements of routers cannot arrive. Those that expire say nothing.
+		routers = g.lastRouters
+	}
+	g.lastRouters = routers
 	g.routerCount.Store(max(1, int64(len(routers))))
 	addresses = append(addresses, g.lenderAddresses(routers)...)
 	slices.Sort(addresses)
@@ -180,10 +186,14 @@
 func (g *Gateway) inLeaseGrace(now time.Time) bool { return now.UnixNano() < g.leaseGraceEndsAt.Load() }
 
 // handleEntries passes the target announcements among the received entries to the placer,
-// and the verdicts to the quarantiner.
+// their limits to the limiter, and the verdicts to the quarantiner.
 func (g *Gateway) handleEntries(entries []disseminator.Entry) {
 	g.verdicts.Apply(entries, time.Now())
 	for _, e := range entries {
+		if limiter.IsLimit(e) {
+			g.applyLimit(e)
+			continue
+		}
 		if !selector.IsTarget(e) {
 			continue
 		}
@@ -230,6 +240,10 @@
 		return nil, err
 	case messenger.CrashNotice:
 		return nil, g.verdicts.ReceiveCrashes(body, time.Now())
+	case messenger.PermitCall:
+		return g.handlePermitCall(body)
+	case messenger.LimitNotice:
+		return nil, g.handleLimitNotice(body)
 	case messenger.ConfigurationNotice:
 		return nil, nil // a gateway does not use tickets
 	default:
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -46,6 +46,11 @@
 		return newRefusal(http.StatusServiceUnavailable, "overloaded", max(targetRetryAfter, overload.RetryAfter()),
 			zap.Duration("expectedFirstEvent", overload.Expected()))
 	}
+	var limited *limitedError
+	if errors.As(err, &limited) {
+		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(limited.freeAt)),
+			zap.Strings("limited", limited.targets), zap.Int("permitsDenied", limited.denied))
+	}
 	return newRefusal(http.StatusServiceUnavailable, "noTarget", targetRetryAfter)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -187,7 +188,7 @@
 			q.giveUp(r)
 			return
 		}
-		placement, err := q.choosePlacement()
+		placement, err := q.acquirePlacement(ctx)
 		if err != nil {
 			q.giveUp(placementRefusal(err))
 			return
@@ -275,7 +276,8 @@
 	}
 }
 
-func (q *request) choosePlacement() (*placer.Placement, error) {
+// choosePlacement chooses a target that is not among those to avoid.
+func (q *request) choosePlacement(avoid []string) (*placer.Placement, error) {
 	now := time.Now()
 	engine, _ := q.service.Engine()
 	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
@@ -286,7 +288,7 @@
 		Service:             q.service.Name(),
 		Segments:            q.metadata.config.Segments,
 		FirstEventObjective: q.route.FirstEventObjective(),
-		Exclude:             q.excluded,
+		Exclude:             slices.Concat(q.excluded, avoid),
 		// While the own link is full, first events are late for that reason and say
 		// nothing about the targets.
 		RejectIfLate: isStream && q.attempts == 0 && !q.gateway.diverting.Load(),
--- /dev/null
+++ b/internal/limiter/coordinator.go
@@ -0,0 +1,171 @@
+package limiter
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxCoordinators is the number of VMs that may grant permits for a target.
+	maxCoordinators = 3
+	// rankDivisor is by how much the rate of a coordinator exceeds that of the next one.
+	rankDivisor = 4
+	// The first coordinator may grant at once minBurst permits and those of burstTime, so
+	// that few of them are lost to routers that ask seldom.
+	minBurst  = 2
+	burstTime = 500 * time.Millisecond
+	// notCoordinatorWait is how long a router waits that has asked a VM which may not grant
+	// permits. The routers of the two differ, and will soon agree.
+	notCoordinatorWait = time.Second
+)
+
+// Coordinators returns the VMs that may grant permits for a target, in the order in which
+// they have to be asked. They are chosen among the given ones by rendezvous hashing (Thaler
+// and Ravishankar, 1998), so that all routers choose the same.
+func Coordinators(target string, vms []string) []string {
+	weights := make(map[string]uint64, len(vms))
+	for _, vm := range vms {
+		digest := fnv.New64a()
+		_, _ = digest.Write([]byte(target + "\x00" + vm)) // never fails, as documented by hash.Hash
+		weights[vm] = mix(digest.Sum64())
+	}
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return ranked[:min(len(ranked), maxCoordinators)]
+}
+
+// mix spreads the last bytes of the hashed text over all bits (the finaliser of MurmurHash3,
+// Appleby).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// bucket is the token bucket from which a coordinator grants the permits of a target. It
+// starts empty, so that a new coordinator adds nothing to what an earlier one has granted.
+type bucket struct {
+	tokens   float64
+	filledAt time.Time
+	demand   demand // of all routers, as far as they have asked here
+
+	granted, denied uint64 // since the last Usage
+	rate            float64
+}
+
+// fill adds what has accrued at the given rate.
+func (b *bucket) fill(rate, burst float64, now time.Time) {
+	if !b.filledAt.IsZero() {
+		b.tokens += rate * max(0, now.Sub(b.filledAt).Seconds())
+	}
+	b.tokens = min(b.tokens, burst)
+	b.filledAt = now
+	b.rate = rate
+}
+
+// Grant answers a request for a permit. The rank is the position of this VM among the
+// coordinators of the target.
+func (l *Limiter) Grant(r PermitRequest, rank int, now time.Time) PermitReply {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	denied := PermitReply{notBefore: now.Add(notCoordinatorWait)}
+	if _, err := l.apply(r.limit, now); err != nil || rank < 0 || rank >= maxCoordinators {
+		return denied
+	}
+	known, ok := l.known(r.limit.target, now)
+	if !ok {
+		return denied
+	}
+	reply := PermitReply{}
+	if known.newerThan(r.limit) {
+		reply.limit = known
+	}
+	limit, limited := known.requestsPerSecond()
+	if !limited || known.incarnation > r.limit.incarnation {
+		reply.granted = true
+		return reply
+	}
+	b := &l.targets[r.limit.target].bucket
+	b.demand.add(float64(r.wanted), now)
+	rate, burst := shareOf(limit, rank)
+	b.fill(rate, burst, now)
+	if b.tokens >= 1 {
+		b.tokens--
+		b.granted++
+		reply.granted = true
+		return reply
+	}
+	b.denied++
+	reply.notBefore = now.Add(b.wait(rate, r.demand, now))
+	return reply
+}
+
+// shareOf returns the rate at which the coordinator of a rank grants permits, and the most
+// that it grants at once. Routers that disagree about who can be reached may use all
+// coordinators of a target, so the rates of all ranks add up to less than 4/3 of the limit.
+func shareOf(limit float64, rank int) (rate, burst float64) {
+	rate = limit / math.Pow(rankDivisor, float64(rank))
+	if rank > 0 {
+		return rate, 1
+	}
+	return rate, minBurst + rate*burstTime.Seconds()
+}
+
+// wait returns when a router with the given demand should ask again: at the earliest when
+// there is a token, and twice in the time in which its part of the demand gets one permit.
+// So the permits go to routers by their demand, and a target causes two questions for each
+// permit however many routers there are.
+func (b *bucket) wait(rate, demandOfRouter float64, now time.Time) time.Duration {
+	const questionsPerPermit = 2
+	nextToken := (1 - b.tokens) / rate
+	fair := b.demand.perSecond(now) / (rate * max(demandOfRouter, 1/maxWait.Seconds()) * questionsPerPermit)
+	return time.Duration(min(max(nextToken, fair), maxWait.Seconds()) * float64(time.Second))
+}
+
+// Usage is how the limit of a target was used since the last report.
+type Usage struct {
+	limit           Limit
+	rate            float64
+	demand          float64
+	granted, denied uint64
+}
+
+// Limit returns the limit.
+func (u Usage) Limit() Limit { return u.limit }
+
+// Rate returns the rate at which this coordinator grants permits, in requests a second.
+func (u Usage) Rate() float64 { return u.rate }
+
+// Demand returns the requests a second that routers would have sent to the target.
+func (u Usage) Demand() float64 { return u.demand }
+
+// Granted returns the number of granted permits.
+func (u Usage) Granted() uint64 { return u.granted }
+
+// Denied returns the number of denied permits.
+func (u Usage) Denied() uint64 { return u.denied }
+
+// Usage returns the use of the limits for which this process was asked for permits since
+// the last call.
+func (l *Limiter) Usage(now time.Time) []Usage {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var usages []Usage
+	for _, t := range l.targets {
+		b := &t.bucket
+		if b.granted+b.denied == 0 {
+			continue
+		}
+		usages = append(usages, Usage{t.limit, b.rate, b.demand.perSecond(now), b.granted, b.denied})
+		b.granted, b.denied = 0, 0
+	}
+	slices.SortFunc(usages, func(a, b Usage) int { return cmp.Compare(a.limit.target, b.limit.target) })
+	return usages
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,7 +1,19 @@
 // Package limiter shares the request rate that a target accepts among all routers.
 //
 // A target in need names in its responses how many requests a second it takes from all
-// routers together. A router that learns of it tells the others.
+// routers together. That can be less than one request a router in the time that counts, so
+// no router can have a part of its own. Instead each request to such a target needs a
+// permit. A coordinator, one of the routers, grants the permits of a target from a single
+// token bucket. Further coordinators stand in for one that cannot be reached, at a quarter
+// of the rate each, so that no partition and no disagreement about who is reachable lets
+// through more than a third above the limit.
+//
+// The load pattern: many routers, of which one may carry a large part of the traffic, have
+// more work for a target than it takes. Each of them sends what gets a permit, and the rest
+// elsewhere at once, without a question while the last answer holds.
+//
+// Use: Observe and Apply record limits, Want decides on a request, Grant answers other
+// routers, Resolve records their answers.
 //
 // A Limiter reads no clock and sends no messages: the time is an argument of its methods,
 // and what others have to know is returned to the caller.
@@ -9,6 +21,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -43,12 +56,15 @@
 type Config struct {
 	// VM is the name of the VM of this process. Required.
 	VM string
+	// Random returns a random number in [0, 1). Default: rand.Float64.
+	Random func() float64
 }
 
 // Limiter holds what a process knows about the limits of targets. It is safe for
 // concurrent use.
 type Limiter struct {
 	tieBreak uint64
+	random   func() float64
 
 	mutex   sync.Mutex
 	targets map[string]*target
@@ -57,13 +73,23 @@
 // target is the state of a target whose limit is known.
 type target struct {
 	limit Limit
+
+	// As a router that sends requests.
+	demand    demand
+	wanted    uint64    // requests since the last question
+	waitUntil time.Time // no permit can be had before
+
+	bucket bucket // as a coordinator
 }
 
 // New returns a limiter that knows no limit.
 func New(c Config) *Limiter {
 	digest := fnv.New64a()
 	_, _ = digest.Write([]byte(c.VM)) // never fails, as documented by hash.Hash
-	return &Limiter{tieBreak: digest.Sum64() & (1<<tieBreakBits - 1), targets: map[string]*target{}}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	return &Limiter{tieBreak: digest.Sum64() & (1<<tieBreakBits - 1), random: c.Random, targets: map[string]*target{}}
 }
 
 // Observation is a response of a target and what it says about the target's limit.
@@ -161,7 +187,8 @@
 	return t.limit, true
 }
 
-// store records a limit, and forgets all that was derived from an earlier one.
+// store records a limit. What was derived from another rate, or from an earlier run of the
+// target, is forgotten.
 func (l *Limiter) store(limit Limit, now time.Time) error {
 	t, ok := l.targets[limit.target]
 	if !ok {
@@ -174,6 +201,12 @@
 		t = &target{}
 		l.targets[limit.target] = t
 	}
+	switch {
+	case t.limit.incarnation != limit.incarnation:
+		*t = target{}
+	case !sameRate(t.limit.rate, limit.rate):
+		t.waitUntil = time.Time{}
+	}
 	t.limit = limit
 	return nil
 }
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -24,6 +24,12 @@
 	reference    time.Duration        // duration of the prefill on the reference engine
 	startsAtOnce bool                 // whether no request was known to wait on the target
 
+	// formerPrefixAt is when the shared prefix was last sent to the target before, or zero,
+	// and formerDelayUntil is the target's streamsDelayedUntil before.
+	formerPrefixAt   time.Time
+	formerDelayUntil time.Time
+	prefix           uint64 // the shared prefix, if homeRank is not -1
+
 	awaitsFirstEvent bool // whether no event has arrived yet
 	delaysStreams    bool // whether the prefill delays other streams
 	finished         bool
@@ -108,6 +114,31 @@
 func (Unreachable) isOutcome() {}
 func (Abandoned) isOutcome()   {}
 
+// Cancel undoes the choice of the target, as if it had not been made. Nothing may have been
+// sent. A later call of Finish has no effect.
+func (p *Placement) Cancel() {
+	p.placer.mutex.Lock()
+	defer p.placer.mutex.Unlock()
+	if p.finished {
+		return
+	}
+	p.finished = true
+	p.awaitsFirstEvent = false
+	t := p.target
+	t.open--
+	t.dequeuePrefill(p.prefillTime)
+	if p.delaysStreams {
+		t.streamsDelayedUntil = p.formerDelayUntil
+	}
+	switch {
+	case p.homeRank < 0:
+	case p.formerPrefixAt.IsZero():
+		delete(t.sentPrefixes, p.prefix)
+	default:
+		t.sentPrefixes[p.prefix] = p.formerPrefixAt
+	}
+}
+
 // Finish ends the use of the target. Further calls have no effect.
 func (p *Placement) Finish(o Outcome, now time.Time) {
 	p.placer.mutex.Lock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -211,15 +211,18 @@
 	if err := r.checkOverload(expected); err != nil {
 		return nil, err
 	}
-	if rank >= 0 {
-		t.recordPrefix(r.sharedPrefix(), r.Now)
-	}
-	t.open++
 	placement := &Placement{
 		placer: p, target: t, prefillTime: prefill, awaitsFirstEvent: true, homeRank: rank,
 		chosenAt: r.Now, firstEventAt: r.Now.Add(expected),
 		speed: speed, reference: reference, startsAtOnce: t.startsAtOnce(r.Now),
+		formerDelayUntil: t.streamsDelayedUntil,
 	}
+	if rank >= 0 {
+		placement.prefix = r.sharedPrefix()
+		placement.formerPrefixAt = t.sentPrefixes[placement.prefix]
+		t.recordPrefix(placement.prefix, r.Now)
+	}
+	t.open++
 	placement.prefillDoneAt = t.enqueuePrefill(prefill, r.Now).Add(-t.corrections)
 	if r.streamDelayRisk(cached, uncached) > 0 {
 		placement.delaysStreams = true
