limiter, gateway: permits go to the largest requests

Cause: a limit counts requests, and any request got the permit. So engines without a limit had to read most of the long prompts, 1.0 s to their first events where 0.06 s was expected. Ruled out: permits that go unused, long questions (2 a permit, the median refusal takes some ms). Change: a request is ranked by its prompt among the recent ones of its router. Coordinators grant what is above a rank that follows from demand, limit and bucket; routers remember it and do not ask below. A request counts once in the demand. If all targets of the service have limits, ranks are random, so that no size starves.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
 	limiter                         *limiter.Limiter
+	ranker                          *limiter.Ranker
 	coordinators                    *suspectList // coordinators of limits that have not answered
 }
 
@@ -130,6 +131,7 @@
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
 		investigations: make(chan struct{}, maxInvestigations),
 		limiter:        limiter.New(limiter.Config{VM: c.Settings.VM()}),
+		ranker:         limiter.NewRanker(limiter.RankerConfig{}),
 		coordinators:   &suspectList{until: map[string]time.Time{}},
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -75,15 +75,16 @@
 // to have none at the moment.
 func (q *request) acquirePlacement(ctx context.Context) (*placer.Placement, error) {
 	g := q.gateway
+	rank := q.rank()
 	var avoid []string
 	questions := 0
-	for {
+	for counted := false; ; counted = true {
 		placement, err := q.choosePlacement(avoid)
 		if err != nil {
-			return nil, g.limitedError(err, avoid, questions)
+			return nil, g.limitedError(err, limitedError{targets: avoid, denied: questions}, rank)
 		}
 		target := placement.Target()
-		switch d := g.limiter.Want(target.Name(), target.Incarnation(), time.Now()).(type) {
+		switch d := g.limiter.Want(limiter.Wish{Target: target.Name(), Incarnation: target.Incarnation(), Rank: rank, Counted: counted}, time.Now()).(type) {
 		case limiter.Free:
 			return placement, nil
 		case limiter.Ask:
@@ -96,27 +97,38 @@
 			panic(errors.Errorf("gateway: unknown decision of the limiter %T", d))
 		}
 		placement.Cancel()
-		avoid = append(g.unavailable(questions >= maxPermitQuestions), target.Name())
+		if questions >= maxPermitQuestions {
+			avoid = g.limiter.Limited(time.Now())
+			continue
+		}
+		avoid, _ = g.limiter.Waiting(rank, time.Now())
+		avoid = append(avoid, target.Name())
 	}
 }
 
-// unavailable returns the targets without a permit: all that have a limit, or those for
-// which none can be had at the moment.
-func (g *Gateway) unavailable(all bool) []string {
-	if all {
-		return g.limiter.Limited(time.Now())
+// rank returns the rank by which the request gets a permit. A large request is kept away from
+// targets that have no limit. If there are none, requests of all sizes have the same chance.
+func (q *request) rank() float64 {
+	g := q.gateway
+	now := time.Now()
+	limited := g.limiter.Limited(now)
+	if len(limited) > 0 && !g.placer.HasUsable(q.service.Name(), limited, now, g.inLeaseGrace(now)) {
+		return g.ranker.Random()
+	}
+	size := q.metadata.config.PromptTokens
+	if q.attempts == 0 {
+		g.ranker.Record(q.service.Name(), size)
 	}
-	waiting, _ := g.limiter.Waiting(time.Now())
-	return waiting
+	return g.ranker.Rank(q.service.Name(), size)
 }
 
-// limitedError returns the error of a placement for which some targets were avoided.
-func (g *Gateway) limitedError(err error, avoided []string, denied int) error {
-	if len(avoided) == 0 || !errors.Is(err, placer.ErrNoTarget) {
+// limitedError completes the error of a placement for which targets with limits were avoided.
+func (g *Gateway) limitedError(err error, limited limitedError, rank float64) error {
+	if len(limited.targets) == 0 || !errors.Is(err, placer.ErrNoTarget) {
 		return err
 	}
-	_, freeAt := g.limiter.Waiting(time.Now())
-	return &limitedError{targets: avoided, denied: denied, freeAt: freeAt}
+	_, limited.freeAt = g.limiter.Waiting(rank, time.Now())
+	return &limited
 }
 
 // askForPermit asks the first coordinator that can be reached.
--- a/internal/limiter/codec.go
+++ b/internal/limiter/codec.go
@@ -37,13 +37,16 @@
 	Limit  wireLimit
 	Wanted uint64
 	Demand float32
+	Rank   float32
 }
 
 type wireReply struct {
-	_          struct{} `cbor:",toarray"`
-	Granted    bool
-	WaitMillis int64
-	Limit      *wireLimit
+	_             struct{} `cbor:",toarray"`
+	Granted       bool
+	WaitMillis    int64
+	MinRank       float32
+	MinRankMillis int64
+	Limit         *wireLimit
 }
 
 type wireRate struct {
@@ -98,7 +101,7 @@
 
 // EncodeRequest returns the CBOR encoding of a request for a permit.
 func EncodeRequest(r PermitRequest, now time.Time) ([]byte, error) {
-	return encoder.Marshal(wireRequest{Limit: limitToWire(r.limit, now), Wanted: r.wanted, Demand: float32(r.demand)})
+	return encoder.Marshal(wireRequest{Limit: limitToWire(r.limit, now), Wanted: r.wanted, Demand: float32(r.demand), Rank: float32(r.rank)})
 }
 
 // DecodeRequest is the inverse of EncodeRequest.
@@ -108,18 +111,27 @@
 		return PermitRequest{}, err
 	}
 	limit, err := limitFromWire(w.Limit, now)
-	demand := float64(w.Demand)
-	if err == nil && !(demand >= 0 && demand < math.MaxFloat32) {
+	if err == nil && (!isBetween(w.Demand, 0, math.MaxFloat32) || !isBetween(w.Rank, 0, 1)) {
 		err = errMalformed
 	}
-	return PermitRequest{limit: limit, wanted: w.Wanted, demand: demand}, err
+	return PermitRequest{limit: limit, wanted: w.Wanted, demand: float64(w.Demand), rank: float64(w.Rank)}, err
+}
+
+// isBetween reports whether n is a number from low to high.
+func isBetween(n, low, high float32) bool { return n >= low && n <= high }
+
+func millisUntil(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
+
+// afterMillis returns a time that a coordinator has set, at most maxWait from now.
+func afterMillis(millis int64, now time.Time) time.Time {
+	return now.Add(time.Duration(min(max(0, millis), maxWait.Milliseconds())) * time.Millisecond)
 }
 
 // EncodeReply returns the CBOR encoding of the answer to a request for a permit.
 func EncodeReply(r PermitReply, now time.Time) ([]byte, error) {
 	w := wireReply{Granted: r.granted}
 	if !r.granted {
-		w.WaitMillis = r.notBefore.Sub(now).Milliseconds()
+		w.WaitMillis, w.MinRank, w.MinRankMillis = millisUntil(r.notBefore, now), float32(r.minRank), millisUntil(r.minRankUntil, now)
 	}
 	if r.limit.rate != nil {
 		limit := limitToWire(r.limit, now)
@@ -134,8 +146,10 @@
 	if err := encoder.Unmarshal(data, &w); err != nil {
 		return PermitReply{}, err
 	}
-	wait := min(max(0, w.WaitMillis), maxWait.Milliseconds())
-	reply := PermitReply{granted: w.Granted, notBefore: now.Add(time.Duration(wait) * time.Millisecond)}
+	reply := PermitReply{
+		granted: w.Granted, notBefore: afterMillis(w.WaitMillis, now),
+		minRank: float64(w.MinRank), minRankUntil: afterMillis(w.MinRankMillis, now),
+	}
 	if w.Limit == nil {
 		return reply, nil
 	}
--- a/internal/limiter/coordinator.go
+++ b/internal/limiter/coordinator.go
@@ -17,6 +17,9 @@
 	// that few of them are lost to routers that ask seldom.
 	minBurst  = 2
 	burstTime = 500 * time.Millisecond
+	// demandMargin is how much more demand than supply may ask for permits, so that few of
+	// them are lost when the demand varies.
+	demandMargin = 1.5
 	// notCoordinatorWait is how long a router waits that has asked a VM which may not grant
 	// permits. The routers of the two differ, and will soon agree.
 	notCoordinatorWait = time.Second
@@ -75,7 +78,7 @@
 func (l *Limiter) Grant(r PermitRequest, rank int, now time.Time) PermitReply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	denied := PermitReply{notBefore: now.Add(notCoordinatorWait)}
+	denied := PermitReply{notBefore: now.Add(notCoordinatorWait), minRankUntil: now}
 	if _, err := l.apply(r.limit, now); err != nil || rank < 0 || rank >= maxCoordinators {
 		return denied
 	}
@@ -96,14 +99,17 @@
 	b.demand.add(float64(r.wanted), now)
 	rate, burst := shareOf(limit, rank)
 	b.fill(rate, burst, now)
-	if b.tokens >= 1 {
+	if b.tokens >= 1 && r.rank >= b.minRank(rate, burst, now) {
 		b.tokens--
 		b.granted++
 		reply.granted = true
 		return reply
 	}
 	b.denied++
-	reply.notBefore = now.Add(b.wait(rate, r.demand, now))
+	fairWait := b.fairWait(rate, r.demand, now)
+	reply.notBefore = now.Add(max(b.nextToken(rate), fairWait/2))
+	reply.minRank = 1 - demandMargin*b.supply(rate, now)
+	reply.minRankUntil = now.Add(fairWait)
 	return reply
 }
 
@@ -118,15 +124,40 @@
 	return rate, minBurst + rate*burstTime.Seconds()
 }
 
-// wait returns when a router with the given demand should ask again: at the earliest when
-// there is a token, and twice in the time in which its part of the demand gets one permit.
-// So the permits go to routers by their demand, and a target causes two questions for each
-// permit however many routers there are.
-func (b *bucket) wait(rate, demandOfRouter float64, now time.Time) time.Duration {
+// supply returns the part of the demand that gets a permit.
+func (b *bucket) supply(rate float64, now time.Time) float64 {
+	return rate / max(rate, b.demand.perSecond(now))
+}
+
+// minRank returns the rank from which requests get a permit. Half a bucket corresponds to the
+// ranks whose demand equals the supply. An almost full one is there for all, since what
+// accrues further is lost.
+func (b *bucket) minRank(rate, burst float64, now time.Time) float64 {
+	const (
+		almostFull = 0.9
+		balanced   = 0.5
+	)
+	level := b.tokens / burst
+	if level >= almostFull {
+		return 0
+	}
+	return 1 - level/balanced*b.supply(rate, now)
+}
+
+// nextToken returns the time until there is a token.
+func (b *bucket) nextToken(rate float64) time.Duration { return seconds((1 - b.tokens) / rate) }
+
+// fairWait returns half of the time in which the part of the demand of a router with the
+// given demand gets one permit. So the permits go to routers by their demand, and a target
+// causes about two questions for each permit however many routers there are.
+func (b *bucket) fairWait(rate, demandOfRouter float64, now time.Time) time.Duration {
 	const questionsPerPermit = 2
-	nextToken := (1 - b.tokens) / rate
-	fair := b.demand.perSecond(now) / (rate * max(demandOfRouter, 1/maxWait.Seconds()) * questionsPerPermit)
-	return time.Duration(min(max(nextToken, fair), maxWait.Seconds()) * float64(time.Second))
+	return seconds(b.demand.perSecond(now) / (rate * max(demandOfRouter, 1/maxWait.Seconds()) * questionsPerPermit))
+}
+
+// seconds returns a number of seconds as a duration of at most maxWait.
+func seconds(n float64) time.Duration {
+	return time.Duration(min(max(0, n), maxWait.Seconds()) * float64(time.Second))
 }
 
 // Usage is how the limit of a target was used since the last report.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -10,7 +10,9 @@
 //
 // The load pattern: many routers, of which one may carry a large part of the traffic, have
 // more work for a target than it takes. Each of them sends what gets a permit, and the rest
-// elsewhere at once, without a question while the last answer holds.
+// elsewhere at once, without a question while the last answer holds. Since the limit counts
+// requests, and targets without a limit get the rest, the permits go to the largest requests
+// (Ranker): the others cost those targets least.
 //
 // Use: Observe and Apply record limits, Want decides on a request, Grant answers other
 // routers, Resolve records their answers.
@@ -78,6 +80,9 @@
 	demand    demand
 	wanted    uint64    // requests since the last question
 	waitUntil time.Time // no permit can be had before
+	// minRankUntil is until when no permit can be had for a rank below minRank.
+	minRank      float64
+	minRankUntil time.Time
 
 	bucket bucket // as a coordinator
 }
@@ -205,7 +210,7 @@
 	case t.limit.incarnation != limit.incarnation:
 		*t = target{}
 	case !sameRate(t.limit.rate, limit.rate):
-		t.waitUntil = time.Time{}
+		t.waitUntil, t.minRankUntil = time.Time{}, time.Time{}
 	}
 	t.limit = limit
 	return nil
--- a/internal/limiter/permit.go
+++ b/internal/limiter/permit.go
@@ -46,8 +46,9 @@
 // PermitRequest asks a coordinator for the permission to send one request to a target.
 type PermitRequest struct {
 	limit  Limit
-	wanted uint64  // requests since the last PermitRequest, this one included
+	wanted uint64  // requests since the last PermitRequest
 	demand float64 // requests a second of the asking router
+	rank   float64 // of the request among those of its router, from 0 to 1
 }
 
 // Target returns the name of the target.
@@ -56,7 +57,10 @@
 // PermitReply is the answer of a coordinator.
 type PermitReply struct {
 	granted   bool
-	notBefore time.Time // when to ask again if the permit is denied
+	notBefore time.Time // when to ask again for any request if the permit is denied
+	// minRank is the rank below which not to ask before minRankUntil.
+	minRank      float64
+	minRankUntil time.Time
 	// limit, if it has a rate, is newer than that of the request.
 	limit Limit
 }
@@ -83,23 +87,46 @@
 	return math.Exp(-max(0, now.Sub(d.updatedAt).Seconds()) / demandDecayTime.Seconds())
 }
 
-// Want decides on a request that this router would like to send to a run of a target.
-func (l *Limiter) Want(name string, incarnation uint64, now time.Time) Decision {
+// Wish is a request that a router would like to send to a target.
+type Wish struct {
+	// Target and Incarnation identify the run of the target. Required.
+	Target      string
+	Incarnation uint64
+	// Rank is the rank of the request among those of this router, from 0 to 1. Those of the
+	// highest ranks get the permits.
+	Rank float64
+	// Counted is whether the request was a Wish for another target before. It then adds
+	// nothing to the demand for this one.
+	Counted bool
+}
+
+// Want decides on a request.
+func (l *Limiter) Want(w Wish, now time.Time) Decision {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known, ok := l.known(name, now)
-	if _, limited := known.requestsPerSecond(); !ok || !limited || known.incarnation < incarnation {
+	known, ok := l.known(w.Target, now)
+	if _, limited := known.requestsPerSecond(); !ok || !limited || known.incarnation < w.Incarnation {
 		return Free{}
 	}
-	t := l.targets[name]
-	t.demand.add(1, now)
-	t.wanted++
-	if now.Before(t.waitUntil) {
-		return Wait{t.waitUntil}
+	t := l.targets[w.Target]
+	if !w.Counted {
+		t.demand.add(1, now)
+		t.wanted++
+	}
+	if until := t.unavailableUntil(w.Rank); now.Before(until) {
+		return Wait{until}
 	}
 	wanted := t.wanted
 	t.wanted = 0
-	return Ask{PermitRequest{limit: known, wanted: wanted, demand: t.demand.perSecond(now)}}
+	return Ask{PermitRequest{limit: known, wanted: wanted, demand: t.demand.perSecond(now), rank: w.Rank}}
+}
+
+// unavailableUntil returns until when no permit can be had for a request of the rank.
+func (t *target) unavailableUntil(rank float64) time.Time {
+	if rank < t.minRank && t.minRankUntil.After(t.waitUntil) {
+		return t.minRankUntil
+	}
+	return t.waitUntil
 }
 
 // Resolve records the answer of a coordinator.
@@ -111,8 +138,9 @@
 			return err
 		}
 	}
-	if !reply.granted {
-		l.wait(r, reply.notBefore.Sub(now), now)
+	if t := l.asked(r); t != nil && !reply.granted {
+		t.waitUntil = l.spread(reply.notBefore, now)
+		t.minRank, t.minRankUntil = reply.minRank, l.spread(reply.minRankUntil, now)
 	}
 	return nil
 }
@@ -121,32 +149,40 @@
 func (l *Limiter) Unanswered(r PermitRequest, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.wait(r, unansweredWait, now)
+	if t := l.asked(r); t != nil {
+		t.waitUntil = l.spread(now.Add(unansweredWait), now)
+	}
 }
 
-// wait keeps this router from asking for a permit for about the given time. An answer to a
+// asked returns the target that a request for a permit concerns, or nil. An answer to a
 // request that named an earlier limit says nothing about the present one.
-func (l *Limiter) wait(r PermitRequest, d time.Duration, now time.Time) {
+func (l *Limiter) asked(r PermitRequest) *target {
 	t, ok := l.targets[r.limit.target]
 	if !ok || t.limit.newerThan(r.limit) {
-		return
+		return nil
 	}
-	spread := 1 + waitJitter*(2*l.random()-1)
-	t.waitUntil = now.Add(time.Duration(spread * float64(min(max(0, d), maxWait))))
+	return t
+}
+
+// spread moves a time by a random part of what remains until then.
+func (l *Limiter) spread(until, now time.Time) time.Time {
+	factor := 1 + waitJitter*(2*l.random()-1)
+	return now.Add(time.Duration(factor * float64(min(max(0, until.Sub(now)), maxWait))))
 }
 
-// Waiting returns the targets for which no permit can be had at the moment, and when one
-// can first be had for any of them.
-func (l *Limiter) Waiting(now time.Time) (names []string, first time.Time) {
+// Waiting returns the targets for which no permit can be had at the moment for a request of
+// the rank, and when one can first be had for any of them.
+func (l *Limiter) Waiting(rank float64, now time.Time) (names []string, first time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for name, t := range l.targets {
-		if !now.Before(t.waitUntil) {
+		until := t.unavailableUntil(rank)
+		if !now.Before(until) {
 			continue
 		}
 		names = append(names, name)
-		if first.IsZero() || t.waitUntil.Before(first) {
-			first = t.waitUntil
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	return names, first
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -186,6 +186,13 @@
 	return len(p.usable(Request{Service: service, Now: now, IgnoreLeases: ignoreLeases}))
 }
 
+// HasUsable reports whether a target of the service that is not excluded can be chosen.
+func (p *Placer) HasUsable(service string, exclude []string, now time.Time, ignoreLeases bool) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.usable(Request{Service: service, Exclude: exclude, Now: now, IgnoreLeases: ignoreLeases})) > 0
+}
+
 // Choose chooses a target for a request.
 func (p *Placer) Choose(r Request) (*Placement, error) {
 	p.mutex.Lock()
