--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/limiter"
+	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
@@ -107,9 +108,8 @@
 	investigations                  chan struct{}           // holds an element for each running investigation
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
-	limiter                         *limiter.Limiter
+	limits                          *limitsharer.Sharer
 	ranker                          *limiter.Ranker
-	coordinators                    *suspectList // coordinators of limits that have not answered
 }
 
 // New returns a gateway that is not running yet.
@@ -130,9 +130,7 @@
 		spender:        spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
 		investigations: make(chan struct{}, maxInvestigations),
-		limiter:        limiter.New(limiter.Config{VM: c.Settings.VM()}),
 		ranker:         limiter.NewRanker(limiter.RankerConfig{}),
-		coordinators:   &suspectList{until: map[string]time.Time{}},
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
@@ -144,6 +142,7 @@
 	g.disseminator = disseminator.New(disseminator.Config{OnChange: g.handleEntries})
 	g.quarantiner = quarantiner.New(quarantiner.Config{VM: c.Settings.VM()})
 	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
+	g.limits = g.newLimitSharer()
 	retries := c.Settings.RetryBudget()
 	window := retries.Window()
 	if window == 0 {
@@ -198,7 +197,7 @@
 	running.Go(func() { g.ceilingRepeater.Run(serving) })
 	running.Go(func() { g.runCleanup(serving) })
 	running.Go(func() { g.runQuarantine(serving) })
-	running.Go(func() { g.runLimitReports(serving) })
+	running.Go(func() { g.limits.Run(serving) })
 	load := repeater.New(repeater.Config{Interval: linkLoadInterval, Step: g.observeLoad})
 	running.Go(func() { load.Run(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
@@ -188,12 +187,10 @@
 // handleEntries passes the target announcements among the received entries to the placer,
 // their limits to the limiter, and the verdicts to the quarantiner.
 func (g *Gateway) handleEntries(entries []disseminator.Entry) {
-	g.verdicts.Apply(entries, time.Now())
+	now := time.Now()
+	g.verdicts.Apply(entries, now)
+	g.limits.Apply(entries, now)
 	for _, e := range entries {
-		if limiter.IsLimit(e) {
-			g.applyLimit(e)
-			continue
-		}
 		if !selector.IsTarget(e) {
 			continue
 		}
@@ -241,9 +238,9 @@
 	case messenger.CrashNotice:
 		return nil, g.verdicts.ReceiveCrashes(body, time.Now())
 	case messenger.PermitCall:
-		return g.handlePermitCall(body)
+		return g.limits.HandleCall(body, time.Now())
 	case messenger.LimitNotice:
-		return nil, g.handleLimitNotice(body)
+		return nil, g.limits.ReceiveNotice(body, time.Now())
 	case messenger.ConfigurationNotice:
 		return nil, nil // a gateway does not use tickets
 	default:
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -21,12 +21,8 @@
 	// investigationsSkipped counts the failed attempts that were not investigated, since
 	// too many were under way.
 	investigationsSkipped metrics.Counter
-	// permitsGranted, permitsDenied and permitsUnanswered count the questions to coordinators
-	// of limits.
-	permitsGranted, permitsDenied, permitsUnanswered metrics.Counter
-
-	firstByte metrics.Histogram // milliseconds
-	duration  metrics.Histogram // milliseconds
+	firstByte             metrics.Histogram // milliseconds
+	duration              metrics.Histogram // milliseconds
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -47,10 +43,6 @@
 
 		investigationsSkipped: counter("investigationsSkipped"),
 
-		permitsGranted:    counter("permitsGranted"),
-		permitsDenied:     counter("permitsDenied"),
-		permitsUnanswered: counter("permitsUnanswered"),
-
 		firstByte: histogram("firstByteMilliseconds"),
 		duration:  histogram("requestMilliseconds"),
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/protocol/classifier"
@@ -46,10 +47,10 @@
 		return newRefusal(http.StatusServiceUnavailable, "overloaded", max(targetRetryAfter, overload.RetryAfter()),
 			zap.Duration("expectedFirstEvent", overload.Expected()))
 	}
-	var limited *limitedError
-	if errors.As(err, &limited) {
-		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(limited.freeAt)),
-			zap.Strings("limited", limited.targets), zap.Int("permitsDenied", limited.denied))
+	var usedUp *limitsharer.UsedUpError
+	if errors.As(err, &usedUp) {
+		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(usedUp.FreeAt())),
+			zap.Strings("targets", usedUp.Targets()), zap.Int("questions", usedUp.Questions()))
 	}
 	return newRefusal(http.StatusServiceUnavailable, "noTarget", targetRetryAfter)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -366,7 +366,7 @@
 	if metadata.config.Load != nil {
 		p.RecordLoad(*metadata.config.Load, time.Now())
 	}
-	g.heed(target, metadata.Advice())
+	g.limits.Observe(target.Name(), target.Incarnation(), metadata.Advice(), time.Now())
 	if metadata.NotRun() {
 		return result{outcome: placer.Rejected{}, status: response.Status(), err: errors.Errorf("the target refused the request with status %d", response.Status())}
 	}
--- /dev/null
+++ b/internal/limitsharer/choice.go
@@ -0,0 +1,88 @@
+package limitsharer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishshed.example/radishshed/internal/limiter"
+)
+
+// maxQuestions is how many coordinators are asked for one attempt of a request.
+const maxQuestions = 4
+
+// Choice is the choice of a target for one attempt of a request. Its caller chooses a target
+// that is not to be avoided and asks whether it may use it, until it may or none is left.
+type Choice struct {
+	sharer    *Sharer
+	rank      float64
+	counted   bool
+	questions int
+	avoid     []string
+}
+
+// Begin begins the choice of a target for a request of the given rank among those of this
+// process, from 0 to 1. The largest requests get permits.
+func (s *Sharer) Begin(rank float64) *Choice { return &Choice{sharer: s, rank: rank} }
+
+// Avoid returns the targets that the request may not use.
+func (c *Choice) Avoid() []string { return c.avoid }
+
+// Permits reports whether the request may be sent to the run of a target. If not, the target
+// is to be avoided, and so are others for which no permit can be had at the moment.
+func (c *Choice) Permits(ctx context.Context, target string, incarnation uint64) bool {
+	l := c.sharer.limiter
+	decision := l.Want(limiter.Wish{Target: target, Incarnation: incarnation, Rank: c.rank, Counted: c.counted}, time.Now())
+	c.counted = true
+	switch d := decision.(type) {
+	case limiter.Free:
+		return true
+	case limiter.Ask:
+		c.questions++
+		if c.sharer.ask(ctx, d.Request()) {
+			return true
+		}
+	case limiter.Wait:
+	default:
+		panic(errors.Errorf("limitsharer: unknown decision of the limiter %T", d))
+	}
+	if c.questions >= maxQuestions {
+		c.avoid = l.Limited(time.Now())
+	} else {
+		c.avoid, _ = l.Waiting(c.rank, time.Now())
+	}
+	c.avoid = append(c.avoid, target)
+	return false
+}
+
+// Error returns the reason why no target is left, or nil if none had to be avoided.
+func (c *Choice) Error() error {
+	if len(c.avoid) == 0 {
+		return nil
+	}
+	_, freeAt := c.sharer.limiter.Waiting(c.rank, time.Now())
+	return &UsedUpError{targets: c.avoid, questions: c.questions, freeAt: freeAt}
+}
+
+// UsedUpError means that the limits of all targets that could take a request are used up.
+type UsedUpError struct {
+	targets   []string
+	questions int
+	freeAt    time.Time
+}
+
+// Error implements error.
+func (e *UsedUpError) Error() string {
+	return fmt.Sprintf("the request limits of %d targets are used up", len(e.targets))
+}
+
+// Targets returns the names of the targets.
+func (e *UsedUpError) Targets() []string { return e.targets }
+
+// Questions returns how many coordinators have been asked for a permit.
+func (e *UsedUpError) Questions() int { return e.questions }
+
+// FreeAt returns when a permit may be had. It is zero if that is not known.
+func (e *UsedUpError) FreeAt() time.Time { return e.freeAt }
