gateway, placer: a target that refuses and names a time gets nothing from this router until then

Cause: the time in a target's refusal was not read; a refusal only counted as a failure, which decays in about 12 s whatever the target says. Change: adviser.Advice has PausedUntil (503 only; dates, signs and garbage are ignored, five minutes at most). The placer stores the deadline for that router and target; the longest holds, a random part keeps routers apart. If all targets want nothing the caller is told at once when the first is free. Other routers are not told: the target spoke to this VM. Ruled out: a shorter penalty for refusals alone, since the time that a target names is longer or shorter than any.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -10,6 +10,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -81,6 +82,9 @@
 	RateLimit RateLimit
 	// Leaving is whether the target leaves, and wants no new work.
 	Leaving bool
+	// PausedUntil is until when the target wants nothing from the router that it answered,
+	// or zero.
+	PausedUntil time.Time
 }
 
 // Advice is what one response says about the target that sent it. The zero value says
@@ -101,3 +105,22 @@
 // Leaving reports whether the target leaves, and wants no new work. It holds for this run of
 // the target.
 func (a Advice) Leaving() bool { return a.config.Leaving }
+
+// PausedUntil returns until when the target wants nothing from the router that it answered,
+// or zero.
+func (a Advice) PausedUntil() time.Time { return a.config.PausedUntil }
+
+// maxPause bounds the time for which a target wants nothing. Then one request tells whether
+// it still does.
+const maxPause = 5 * time.Minute
+
+// ParsePause parses the values of the field of a refusal that names the seconds for which the
+// target wants nothing, a decimal number, and returns the end of that time. It returns zero
+// if there is none or it cannot be read. Dates are not read: clocks of VMs may differ.
+func ParsePause(values []string, receivedAt time.Time) time.Time {
+	pause, ok := parseDecimal(values)
+	if !ok || pause == 0 {
+		return time.Time{}
+	}
+	return receivedAt.Add(time.Duration(min(pause, maxPause.Seconds()) * float64(time.Second)))
+}
--- a/internal/adviser/adviser_test.go
+++ b/internal/adviser/adviser_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"radishshed.example/radishshed/internal/adviser"
 )
@@ -45,3 +46,30 @@
 		t.Errorf("got %#v", got)
 	}
 }
+
+// Guards against a pause that bars a target for good, or that comes from a clock.
+func TestParsePause(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	cases := []struct {
+		name   string
+		values []string
+		want   time.Duration // zero for none
+	}{
+		{"absent", nil, 0},
+		{"zero", []string{"0"}, 0},
+		{"whole", []string{"2"}, 2 * time.Second},
+		{"fraction", []string{"0.25"}, 250 * time.Millisecond},
+		{"huge", []string{"99999999999999"}, 5 * time.Minute},
+		{"negative", []string{"-3"}, 0},
+		{"date", []string{"Fri, 04 Dec 2099 20:00:00 GMT"}, 0},
+		{"repeated", []string{"3", "4"}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := adviser.ParsePause(c.values, now)
+			if c.want == 0 && !got.IsZero() || c.want > 0 && !got.Equal(now.Add(c.want)) {
+				t.Errorf("got %s, want %s after %s", got, c.want, now)
+			}
+		})
+	}
+}
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -29,6 +29,10 @@
 	target := p.Target()
 	g.limits.Observe(target.Name(), target.Incarnation(), advice, now)
 	g.heedLeaving(target, advice, now)
+	if until := advice.PausedUntil(); !until.IsZero() {
+		p.RecordPause(until, now)
+		g.log.Info("target wants no requests from this router for a while", zap.String("target", target.Name()), zap.Duration("remaining", until.Sub(now)))
+	}
 }
 
 func (g *Gateway) heedLeaving(target selector.Announcement, advice adviser.Advice, now time.Time) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -47,6 +47,10 @@
 		return newRefusal(http.StatusServiceUnavailable, "overloaded", max(targetRetryAfter, overload.RetryAfter()),
 			zap.Duration("expectedFirstEvent", overload.Expected()))
 	}
+	var paused *placer.PausedError
+	if errors.As(err, &paused) {
+		return newRefusal(http.StatusServiceUnavailable, "targetsPaused", max(targetRetryAfter, time.Until(paused.Until())))
+	}
 	var usedUp *limitsharer.UsedUpError
 	if errors.As(err, &usedUp) {
 		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(usedUp.FreeAt())),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
@@ -243,7 +244,7 @@
 	if q.attempts >= q.route.MaxAttempts() {
 		return false
 	}
-	if _, rejected := r.outcome.(placer.Rejected); !rejected && !q.repeatable() {
+	if !notRun(r.outcome) && !q.repeatable() {
 		return false
 	}
 	return q.gateway.retrier.Allow(q.service.Name(), time.Now())
@@ -311,7 +312,7 @@
 
 // refusal returns the refusal that tells the caller why the last attempt failed.
 func (r result) refusal() *refusal {
-	if _, rejected := r.outcome.(placer.Rejected); rejected {
+	if notRun(r.outcome) {
 		return newRefusal(http.StatusServiceUnavailable, "targetsFull", targetsFullRetryAfter, zap.Int("status", r.status))
 	}
 	return newRefusal(http.StatusBadGateway, "targetFailed", 0, recorder.Err(r.err))
@@ -368,7 +369,7 @@
 	}
 	g.heed(p, metadata.Advice())
 	if metadata.NotRun() {
-		return result{outcome: placer.Rejected{}, status: response.Status(), err: errors.Errorf("the target refused the request with status %d", response.Status())}
+		return result{outcome: rejection(metadata.Advice()), status: response.Status(), err: errors.Errorf("the target refused the request with status %d", response.Status())}
 	}
 	q.mayHaveRun = true
 	if isStream && response.Status() == http.StatusOK {
@@ -380,6 +381,24 @@
 	return q.relayWhole(ctx, p, response, metadata)
 }
 
+// rejection returns the outcome of an attempt that the target refused without running it.
+func rejection(advice adviser.Advice) placer.Outcome {
+	if !advice.PausedUntil().IsZero() {
+		return placer.Paused{}
+	}
+	return placer.Rejected{}
+}
+
+// notRun reports whether the outcome guarantees that the target has not run the request.
+func notRun(o placer.Outcome) bool {
+	switch o.(type) {
+	case placer.Rejected, placer.Paused:
+		return true
+	default:
+		return false
+	}
+}
+
 // resumeEventID returns the identifier of the last event that the caller has received,
 // after which the stream is to resume, or "".
 func (q *request) resumeEventID() string {
--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -64,6 +64,13 @@
 	p.target.recordLoad(l, now)
 }
 
+// RecordPause records that the target wants nothing from this router until a moment.
+func (p *Placement) RecordPause(until, now time.Time) {
+	p.placer.mutex.Lock()
+	defer p.placer.mutex.Unlock()
+	p.target.pause(until, now)
+}
+
 // RecordFirstEvent records that the response has begun.
 func (p *Placement) RecordFirstEvent(now time.Time) {
 	p.placer.mutex.Lock()
@@ -90,7 +97,7 @@
 }
 
 // Outcome is how the use of a target ended. The interface is sealed: its only
-// implementations are Served, Failed, Rejected, Unreachable and Abandoned.
+// implementations are Served, Failed, Rejected, Paused, Unreachable and Abandoned.
 type Outcome interface{ isOutcome() }
 
 // Served means that the target sent its whole response.
@@ -102,6 +109,10 @@
 // Rejected means that the target refused the request without running it.
 type Rejected struct{}
 
+// Paused means that the target refused the request without running it, and has named a time
+// for which it wants nothing (RecordPause). That is no failure.
+type Paused struct{}
+
 // Unreachable means that no connection to the target could be opened.
 type Unreachable struct{}
 
@@ -111,6 +122,7 @@
 func (Served) isOutcome()      {}
 func (Failed) isOutcome()      {}
 func (Rejected) isOutcome()    {}
+func (Paused) isOutcome()      {}
 func (Unreachable) isOutcome() {}
 func (Abandoned) isOutcome()   {}
 
@@ -163,6 +175,6 @@
 	case Unreachable:
 		t.recordFailure(now)
 		t.backOff(now)
-	case Abandoned:
+	case Paused, Abandoned:
 	}
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -35,6 +35,16 @@
 // ErrNoTarget means that no target can take the request.
 var ErrNoTarget = errors.New("no available target serves this service")
 
+// A PausedError means that all targets that could take the request want nothing from this
+// router for a while.
+type PausedError struct{ until time.Time }
+
+// Error implements error.
+func (e *PausedError) Error() string { return "all targets of the service have asked for a pause" }
+
+// Until returns when the first of them can be used again.
+func (e *PausedError) Until() time.Time { return e.until }
+
 // Segment is a run of prompt tokens that several requests may share.
 type Segment struct {
 	id     uint64
@@ -245,7 +255,7 @@
 	defer p.mutex.Unlock()
 	usable := p.usable(r)
 	if len(usable) == 0 {
-		return nil, ErrNoTarget
+		return nil, p.reasonForNone(r)
 	}
 	var t *target
 	rank := -1
@@ -324,6 +334,23 @@
 	}
 }
 
+// reasonForNone returns the error of a request for which no target can be chosen.
+func (p *Placer) reasonForNone(r Request) error {
+	var first time.Time
+	for _, t := range p.byService[r.Service] {
+		if !t.present(r.Now, r.IgnoreLeases) || !r.Now.Before(t.pausedUntil) || slices.Contains(r.Exclude, t.announcement.Name()) {
+			continue
+		}
+		if first.IsZero() || t.pausedUntil.Before(first) {
+			first = t.pausedUntil
+		}
+	}
+	if first.IsZero() {
+		return ErrNoTarget
+	}
+	return &PausedError{first}
+}
+
 // usable returns the targets that may be chosen. Targets in backoff after a
 // failed connection are returned only if there are no others.
 func (p *Placer) usable(r Request) []*target {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/selector"
 )
@@ -241,3 +243,19 @@
 		t.Errorf("%d targets are usable after the next run has been announced, want one", n)
 	}
 }
+
+// Guards against the shorter of two pauses that ends the longer one, and against a pause
+// without an end for the caller.
+func TestLongestPauseHolds(t *testing.T) {
+	p := newPlacer(t, plainService, 1)
+	placement := choose(t, p, placer.Request{Service: plainService, Now: start})
+	placement.RecordPause(start.Add(10*time.Second), start)
+	placement.RecordPause(start.Add(time.Second), start)
+	placement.Finish(placer.Paused{}, start)
+	_, err := p.Choose(placer.Request{Service: plainService, Now: start.Add(5 * time.Second)})
+	var paused *placer.PausedError
+	if !errors.As(err, &paused) || paused.Until().Before(start.Add(10*time.Second)) || paused.Until().After(start.Add(11*time.Second)) {
+		t.Fatalf("got %v", err)
+	}
+	choose(t, p, placer.Request{Service: plainService, Now: start.Add(12 * time.Second)})
+}
--- a/internal/placer/target.go
+++ b/internal/placer/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"radishshed.example/radishshed/internal/selector"
@@ -28,7 +29,11 @@
 	// minBackoff and maxBackoff bound how long a target that could not be
 	// reached gets no requests while others can take them.
 	minBackoff = 300 * time.Millisecond
-	maxBackoff = 4 * time.Second
+	// pauseSpread is the largest part by which a pause is prolonged, and maxPauseSpread the
+	// longest time.
+	pauseSpread    = 0.2
+	maxPauseSpread = time.Second
+	maxBackoff     = 4 * time.Second
 )
 
 // Load is the load that a target reports.
@@ -70,12 +75,18 @@
 	failures          float64 // decaying count of failures as of failuresAt
 	failuresAt        time.Time
 	backoffUntil      time.Time
+	pausedUntil       time.Time // the target wants nothing from this router
 	backoff           time.Duration
 	firstEventDelayMs float64 // decaying average of the time by which first events missed their estimate
 	firstEventAt      time.Time
 }
 
 func (t *target) usable(now time.Time, ignoreLeases bool) bool {
+	return t.present(now, ignoreLeases) && !now.Before(t.pausedUntil)
+}
+
+// present reports whether the target is there, though it may want nothing at the moment.
+func (t *target) present(now time.Time, ignoreLeases bool) bool {
 	return !t.leaving && (ignoreLeases || now.Before(t.expiresAt))
 }
 
@@ -112,6 +123,15 @@
 	t.backoffUntil = now.Add(t.backoff)
 }
 
+// pause keeps requests away from a target that wants none. The longest of several times
+// holds. A random part more keeps routers from coming back in the same moment.
+func (t *target) pause(until, now time.Time) {
+	if until.After(t.pausedUntil) && until.After(now) {
+		spread := min(time.Duration(rand.Float64()*pauseSpread*float64(until.Sub(now))), maxPauseSpread)
+		t.pausedUntil = until.Add(spread)
+	}
+}
+
 // enqueuePrefill adds a prefill to the target's queue and returns its estimated
 // end.
 func (t *target) enqueuePrefill(prefill time.Duration, now time.Time) time.Time {
