router, controller, simulator: the product's own interface keeps the limits of targets

Callers saw: nothing; a target behind the own interface that names 2 requests a second got 240 in 8 s (own test without permits), where 29 may. Cause: the same as behind the gateway, looked for there: the forwarder reads the status and type of a response and no other field. Change: the forwarder returns the same typed reading (X-Request-Limit), and jobs take the same Choice and permits. Control VMs coordinate there, since its routers keep links to all of them; while none can be reached, limited targets are not used. Work that may wait waits for a permit, other work is refused at once with when to come back. A simulated target names a limit (--request-limit).

--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -25,6 +25,7 @@
 	BudgetExceeded     Kind = "budgetExceeded"
 	NoTarget           Kind = "noTarget"
 	Overloaded         Kind = "overloaded"
+	TargetsLimited     Kind = "targetsLimited"
 	ControlUnreachable Kind = "controlUnreachable"
 	Starting           Kind = "starting"
 	Quarantined        Kind = "requestQuarantined"
@@ -52,6 +53,7 @@
 	BudgetExceeded:     {http.StatusPaymentRequired, "insufficient_quota", 0},
 	NoTarget:           {http.StatusServiceUnavailable, "server_error", 2 * time.Second},
 	Overloaded:         {http.StatusTooManyRequests, "rate_limit_error", 2 * time.Second},
+	TargetsLimited:     {http.StatusServiceUnavailable, "server_error", time.Second},
 	ControlUnreachable: {http.StatusServiceUnavailable, "server_error", 2 * time.Second},
 	Starting:           {http.StatusServiceUnavailable, "server_error", time.Second},
 	Quarantined:        {http.StatusUnprocessableEntity, "invalid_request_error", 0},
@@ -64,16 +66,17 @@
 	kind    Kind
 	verdict classifier.Verdict
 	message string
+	retryAt time.Time // if set, when the caller may retry
 }
 
 // Refuse returns a refusal of a request that was not run.
 func Refuse(kind Kind, format string, args ...any) *Refusal {
-	return &Refusal{kind, classifier.NotRun{}, fmt.Sprintf(format, args...)}
+	return RefuseWith(classifier.NotRun{}, kind, format, args...)
 }
 
 // RefuseWith returns a refusal with the given verdict.
 func RefuseWith(verdict classifier.Verdict, kind Kind, format string, args ...any) *Refusal {
-	return &Refusal{kind, verdict, fmt.Sprintf(format, args...)}
+	return &Refusal{kind: kind, verdict: verdict, message: fmt.Sprintf(format, args...)}
 }
 
 // Error returns the kind and the message.
@@ -94,6 +97,19 @@
 // ErrorType returns the error type of the OpenAI API, as clients expect it.
 func (r *Refusal) ErrorType() string { return refusalResponses[r.kind].errorType }
 
+// WithRetryAt returns the refusal with the moment at which the caller may retry.
+func (r *Refusal) WithRetryAt(at time.Time) *Refusal {
+	next := *r
+	next.retryAt = at
+	return &next
+}
+
 // RetryAfter returns the delay after which the caller may retry, or zero if the response
 // suggests none.
-func (r *Refusal) RetryAfter() time.Duration { return refusalResponses[r.kind].retryAfter }
+func (r *Refusal) RetryAfter() time.Duration {
+	usual := refusalResponses[r.kind].retryAfter
+	if r.retryAt.IsZero() {
+		return usual
+	}
+	return max(usual, time.Until(r.retryAt))
+}
--- a/internal/commandrunner/daemons.go
+++ b/internal/commandrunner/daemons.go
@@ -133,6 +133,7 @@
 	Services   []string      `long:"service" required:"true" description:"service that the target serves; may be repeated"`
 	Capacity   int64         `long:"capacity" default:"8" description:"number of requests that run at the same time"`
 	TokenTime  time.Duration `long:"token-time" default:"2ms" description:"time to generate one token while a single request is running"`
+	Limit      float64       `long:"request-limit" description:"requests a second that the target says it takes from all routers together; none if absent"`
 	ReportLag  time.Duration `long:"report-lag" default:"0s" description:"how old the load is when it is reported"`
 }
 
@@ -156,6 +157,7 @@
 		Capacity:        c.Capacity,
 		TokenTime:       c.TokenTime,
 		LoadReportDelay: c.ReportLag,
+		RequestLimit:    c.Limit,
 		Crash:           func() { os.Exit(exitFailed) },
 		Log:             log,
 	}).Run(c.ctx)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/quarantiner"
@@ -64,6 +65,8 @@
 	routerActivity *routerActivity
 	quarantiner    *quarantiner.Quarantiner
 	verdicts       *verdictsharer.Sharer
+	limits         *limitsharer.Sharer // of targets of routers, not of gateways
+	controlVMs     limitsharer.ControlVMs
 
 	routes        func(chi.Router, *Controller)
 	startedAt     uint64 // Unix time in nanoseconds
@@ -207,6 +210,7 @@
 	running.Go(func() { tasks.Run(serving) })
 	running.Go(func() { c.runDiscovery(serving) })
 	running.Go(func() { c.runQuarantine(serving) })
+	running.Go(func() { c.limits.Run(serving) })
 	running.Go(func() { c.runQuarantineFile(serving) })
 	members := repeater.New(repeater.Config{Interval: membershipInterval, Step: c.maintainMembership})
 	running.Go(func() { members.Run(serving) })
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -59,7 +59,9 @@
 // duplicates.
 func (c *Controller) controlAddresses() []string {
 	addresses := slices.Clone(*c.addresses.Load())
-	for _, e := range c.disseminator.Live() {
+	entries := c.disseminator.Live()
+	c.controlVMs.Update(entries)
+	for _, e := range entries {
 		if strings.HasPrefix(e.Key(), messenger.ControlAddressPrefix) {
 			addresses = append(addresses, string(e.Value()))
 		}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -44,6 +44,8 @@
 		return nil, c.disseminator.Receive(updatesLink{from}, body)
 	case messenger.CrashNotice:
 		return nil, c.verdicts.ReceiveCrashes(body, time.Now())
+	case messenger.PermitCall:
+		return c.limits.HandleCall(body, time.Now())
 	case messenger.Batch:
 		return c.handleBatch(ctx, body)
 	case messenger.ConfigurationRequest:
--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/verdictsharer"
@@ -25,13 +26,20 @@
 	quarantineFile = "quarantine"
 )
 
-// openQuarantine restores the verdicts of the quarantine file. A file that cannot be read is
+// openQuarantine creates the parts that share with routers what is known of requests and
+// targets, and restores the verdicts of the quarantine file. A file that cannot be read is
 // as good as none: the verdicts are also held by the other processes.
 func (c *Controller) openQuarantine() {
 	c.quarantiner = quarantiner.New(quarantiner.Config{VM: c.settings.VM()})
 	c.disseminator = disseminator.New(disseminator.Config{OnChange: func(entries []disseminator.Entry) {
-		c.verdicts.Apply(entries, time.Now())
+		now := time.Now()
+		c.verdicts.Apply(entries, now)
+		c.limits.Apply(entries, now)
 	}})
+	c.limits = limitsharer.New(limitsharer.Config{
+		VM: c.settings.VM(), Candidates: c.controlVMs.List, Publish: c.disseminator.Put, Metrics: c.metrics, Log: c.log,
+		Peer: func(string) (limitsharer.Peer, bool) { return nil, false }, // control sends no requests to targets
+	})
 	c.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: c.quarantiner, Publish: c.disseminator.Put, Log: c.log})
 	data, err := os.ReadFile(c.quarantinePath())
 	if os.IsNotExist(err) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/pkg/protocol/classifier"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
@@ -25,7 +26,10 @@
 const (
 	// RequestIDHeader is the header that carries the identifier of a request to a
 	// target. The target repeats it in its response.
-	RequestIDHeader       = "X-Request-Id"
+	RequestIDHeader = "X-Request-Id"
+	// RequestLimitHeader is the header in which a target names the requests a second that it
+	// takes from all routers together, as a decimal number.
+	RequestLimitHeader    = "X-Request-Limit"
 	dialTimeout           = 2 * time.Second
 	queryTimeout          = 2 * time.Second
 	maxResponseBytes      = 64 << 20
@@ -62,6 +66,7 @@
 	contentType string
 	body        io.ReadCloser
 	length      int64
+	advice      adviser.Advice
 }
 
 // Status returns the HTTP status.
@@ -70,6 +75,9 @@
 // ContentType returns the content type of the body.
 func (r *Response) ContentType() string { return r.contentType }
 
+// Advice returns what the target says about itself.
+func (r *Response) Advice() adviser.Advice { return r.advice }
+
 // Body returns the body. Reading a body that ends early returns an error.
 func (r *Response) Body() io.ReadCloser { return r.body }
 
@@ -161,7 +169,14 @@
 		_ = response.Body.Close() // the response is not relayed
 		return nil, &Failure{classifier.MayHaveRun{}, errors.Errorf("response carries the identifier of another request: %q", got)}
 	}
-	return &Response{response.StatusCode, response.Header.Get("Content-Type"), response.Body, response.ContentLength}, nil
+	return newResponse(response), nil
+}
+
+func newResponse(r *http.Response) *Response {
+	return &Response{
+		status: r.StatusCode, contentType: r.Header.Get("Content-Type"), body: r.Body, length: r.ContentLength,
+		advice: adviser.New(adviser.Config{RateLimit: adviser.ParseRateLimit(r.Header.Values(RequestLimitHeader))}),
+	}
 }
 
 // ReadAll reads the whole body and closes it. A body that is shorter than its
@@ -274,7 +289,7 @@
 		_ = response.Body.Close() // the response is not relayed
 		return nil, errors.Errorf("resume stream: status %d, or the response carries the identifier of another request", response.StatusCode)
 	}
-	return &Response{response.StatusCode, response.Header.Get("Content-Type"), response.Body, response.ContentLength}, nil
+	return newResponse(response), nil
 }
 
 // NewFailure returns a failure with the verdict and the cause.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -70,7 +70,9 @@
 	}
 	byDataCentre := map[string][]candidate{}
 	serving := int64(1)
-	for _, e := range r.disseminator.Live() {
+	entries := r.disseminator.Live()
+	r.controlVMs.Update(entries)
+	for _, e := range entries {
 		vm, ok := strings.CutPrefix(e.Key(), presencePrefix)
 		if !ok || vm == r.process.VM() {
 			continue
@@ -111,6 +113,7 @@
 func (r *Router) handleEntries(entries []disseminator.Entry) {
 	r.selector.Apply(entries)
 	r.failures.apply(entries)
+	r.limits.Apply(entries, time.Now())
 }
 
 // handle handles a message from a peer.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"radishshed.example/radishshed/internal/committer"
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/forwarder"
+	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
@@ -60,6 +61,9 @@
 	retired       chan struct{} // closed once control has retired this process
 	retireOnce    sync.Once
 
+	limits     *limitsharer.Sharer
+	controlVMs limitsharer.ControlVMs
+
 	configuration   atomic.Pointer[archiver.Configuration]
 	confirmed       chan struct{} // closed once a quorum has confirmed a configuration
 	confirmOnce     sync.Once
@@ -114,6 +118,9 @@
 	r.counters = newCounters(r.metrics)
 	r.configuration.Store(&archiver.Configuration{})
 	r.disseminator = disseminator.New(disseminator.Config{OnChange: r.handleEntries})
+	r.limits = limitsharer.New(limitsharer.Config{
+		VM: config.Settings.VM(), Candidates: r.controlVMs.List, Peer: r.controlPeer, Publish: r.disseminator.Put, Metrics: r.metrics, Log: r.log,
+	})
 	r.committer = committer.New(committer.Config{
 		Process:       r.process,
 		ControlClient: r,
@@ -154,6 +161,7 @@
 	running.Go(func() { r.disseminator.Run(serving) })
 	running.Go(func() { r.runMembership(serving) })
 	running.Go(func() { r.runConfiguration(serving) })
+	running.Go(func() { r.limits.Run(serving) })
 	probes := repeater.New(repeater.Config{Interval: probeInterval, Step: r.probeStale})
 	running.Go(func() { probes.Run(serving) })
 	r.log.Info("router started", zap.Stringer("process", r.process))
@@ -251,6 +259,11 @@
 	return peers[rand.IntN(len(peers))].Call(ctx, kind, body)
 }
 
+// controlPeer returns the link to the control VM of the name, and whether there is one.
+func (r *Router) controlPeer(vm string) (limitsharer.Peer, bool) {
+	return r.endpoint.PeerOnVM(vm, linker.Control)
+}
+
 func (r *Router) controlPeers() []*linker.Peer {
 	var control []*linker.Peer
 	for _, p := range r.endpoint.Peers() {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -48,6 +48,9 @@
 // Name returns the target's name.
 func (t *Target) Name() string { return t.name }
 
+// Incarnation returns the incarnation of the target.
+func (t *Target) Incarnation() uint64 { return t.incarnation }
+
 // Address returns the target's address, as host and port.
 func (t *Target) Address() string { return t.address }
 
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/forwarder"
 	"radishshed.example/radishshed/internal/listener"
 )
 
@@ -55,6 +57,11 @@
 	// LoadReportDelay simulates delayed reports: announcements contain the load as it
 	// was this long ago. Default: none, so that the load is current.
 	LoadReportDelay time.Duration
+	// RequestLimit, if positive, is the limit of requests a second from all routers together
+	// that the target names in its responses. It does not enforce the limit.
+	RequestLimit float64
+	// OnRequest, if set, is called for each request of a caller that arrives.
+	OnRequest func()
 	// Crash is called when a request whose body contains CrashMarker is run.
 	// Default: the request is served like any other.
 	Crash func()
@@ -120,7 +127,15 @@
 
 // ServeHTTP serves the target's HTTP routes, for tests with a listener of their
 // own.
-func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.handler.ServeHTTP(w, r) }
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.config.RequestLimit > 0 {
+		w.Header().Set(forwarder.RequestLimitHeader, strconv.FormatFloat(t.config.RequestLimit, 'f', -1, 64))
+	}
+	if t.config.OnRequest != nil && r.Header.Get(requestIDHeader) != "" {
+		t.config.OnRequest()
+	}
+	t.handler.ServeHTTP(w, r)
+}
 
 // Run serves requests and announces the target to the routers until the context
 // ends. It then announces that the target is leaving and serves requests until
