--- a/internal/limitsharer/limitsharer_test.go
+++ b/internal/limitsharer/limitsharer_test.go
@@ -96,6 +96,7 @@
 			t.Errorf("%s does not know the limit", vm)
 		}
 	}
+	time.Sleep(300 * time.Millisecond) // changes in quick succession are not reported
 	fleet["vm-2"].names(adviser.Unlimited{})
 	for vm, p := range fleet {
 		if !p.permitted() {
