--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -23,19 +23,20 @@
 	departureLease = 5 * time.Minute
 )
 
-// heed acts on what a target says about itself in a response.
-func (g *Gateway) heed(p *placer.Placement, advice adviser.Advice) {
+// applyAdvice acts on what a target says about itself in a response.
+func (g *Gateway) applyAdvice(p *placer.Placement, advice adviser.Advice) {
 	now := time.Now()
 	target := p.Target()
 	g.limits.Observe(target.Name(), target.Incarnation(), advice, now)
-	g.heedLeaving(target, advice, now)
+	g.applyLeaving(target, advice, now)
 	if until := advice.PausedUntil(); !until.IsZero() {
 		p.RecordPause(until, now)
 		g.log.Info("target wants no requests from this router for a while", zap.String("target", target.Name()), zap.Duration("remaining", until.Sub(now)))
 	}
 }
 
-func (g *Gateway) heedLeaving(target selector.Announcement, advice adviser.Advice, now time.Time) {
+// applyLeaving records that a target leaves if it says so, and tells the other processes.
+func (g *Gateway) applyLeaving(target selector.Announcement, advice adviser.Advice, now time.Time) {
 	if !advice.Leaving() || !g.placer.RecordLeaving(target.Name(), target.Incarnation(), now) {
 		return
 	}
@@ -59,7 +60,7 @@
 	if m.ID() == q.metadata.ID() {
 		return true
 	}
-	g.heedLeaving(target, m.Advice(), now)
+	g.applyLeaving(target, m.Advice(), now)
 	return false
 }
 
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -18,6 +17,7 @@
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/coordination/ranker"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/escrower"
@@ -123,12 +123,11 @@
 
 // lenderAddresses returns the addresses of the lenders: the routers that all others
 // keep links to and ask for loans. It also stores the set of lenders and whether this
-// router is one of them. Lenders are chosen by rendezvous hashing (Thaler and
-// Ravishankar, 1998): all routers choose the same ones, and few lenders change when
-// routers join or leave.
+// router is one of them. Lenders are chosen by rendezvous hashing: all routers choose the
+// same ones, and few lenders change when routers join or leave.
 func (g *Gateway) lenderAddresses(routers []disseminator.Entry) []string {
 	slices.SortFunc(routers, func(a, b disseminator.Entry) int {
-		return cmp.Compare(rendezvousWeight("", b.Key()), rendezvousWeight("", a.Key()))
+		return cmp.Compare(ranker.Weight("", b.Key()), ranker.Weight("", a.Key()))
 	})
 	var addresses []string
 	lender := false
@@ -146,14 +145,6 @@
 	return addresses
 }
 
-// rendezvousWeight returns the rendezvous hashing weight of other for own. The string own
-// is empty if all routers must compute the same weights.
-func rendezvousWeight(own, other string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(own + "\x00" + other) // never fails, as documented by hash.Hash
-	return digest.Sum64()
-}
-
 func (g *Gateway) controlPeers() []*linker.Peer { return g.peersOf(linker.Control) }
 
 // lenderPeers returns the lenders to which there is a link. A lender also has links from
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -54,7 +54,7 @@
 	var usedUp *limitsharer.UsedUpError
 	if errors.As(err, &usedUp) {
 		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(usedUp.FreeAt())),
-			zap.Strings("targets", usedUp.Targets()), zap.Int("questions", usedUp.Questions()))
+			zap.Strings("targets", usedUp.Targets()), zap.Int("permitRequests", usedUp.PermitRequests()))
 	}
 	return newRefusal(http.StatusServiceUnavailable, "noTarget", targetRetryAfter)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -367,7 +367,7 @@
 	if metadata.config.Load != nil {
 		p.RecordLoad(*metadata.config.Load, time.Now())
 	}
-	g.heed(p, metadata.Advice())
+	g.applyAdvice(p, metadata.Advice())
 	if metadata.NotRun() {
 		return result{outcome: rejection(metadata.Advice()), status: response.Status(), err: errors.Errorf("the target refused the request with status %d", response.Status())}
 	}
--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -10,6 +10,7 @@
 
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/pkg/coordination/ranker"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/escrower"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -42,7 +43,7 @@
 		}
 	}
 	slices.SortFunc(linked, func(a, b identifier.Process) int {
-		return int(rendezvousWeight(g.process.VM(), a.VM())>>33) - int(rendezvousWeight(g.process.VM(), b.VM())>>33)
+		return int(ranker.Weight(g.process.VM(), a.VM())>>33) - int(ranker.Weight(g.process.VM(), b.VM())>>33)
 	})
 	for _, process := range linked {
 		if len(chosen) < maxWitnesses && !slices.Contains(chosen, process) {
--- a/internal/limiter/codec_test.go
+++ b/internal/limiter/codec_test.go
@@ -27,10 +27,10 @@
 
 func ask(t *testing.T, l *limiter.Limiter, now time.Time) limiter.PermitRequest {
 	t.Helper()
-	d := l.Want(limiter.Wish{Target: targetName, Incarnation: 1 << 40, Rank: 1}, now)
+	d := l.Decide(limiter.Attempt{Target: targetName, Incarnation: 1 << 40, Rank: 1}, now)
 	a, ok := d.(limiter.Ask)
 	if !ok {
-		t.Fatalf("got %T, want a question", d)
+		t.Fatalf("got %T, want Ask", d)
 	}
 	return a.Request()
 }
@@ -43,10 +43,10 @@
 		coordinators = 24
 		targets      = 100
 		rate         = 4
-		// questions a second for each target: three for each permit, and one in ten seconds of
+		// permitRequests a second for each target: three for each permit, and one in ten seconds of
 		// each router that seldom gets one, of which a router asks only with a request at hand.
-		questions = 3 * rate
-		controls  = 5 // that each send an entry to every router
+		permitRequests = 3 * rate
+		controls       = 5 // that each send an entry to every router
 	)
 	l, limit := limited(t, "router-1", rate)
 	request := ask(t, l, start)
@@ -63,8 +63,8 @@
 		t.Fatal(err)
 	}
 	entry := len(e.Key()) + len(e.Value())
-	t.Logf("a question has %d bytes, a reply %d, a limit %d", len(data), len(reply), entry)
-	perSecond := targets * questions * (len(data) + len(reply)) / coordinators
+	t.Logf("a request has %d bytes, a reply %d, a limit %d", len(data), len(reply), entry)
+	perSecond := targets * permitRequests * (len(data) + len(reply)) / coordinators
 	t.Logf("a coordinator sends and receives %d bytes a second, a change of a limit costs each node %d", perSecond, controls*entry)
 	if perSecond+controls*entry > nodeBytes {
 		t.Errorf("%d bytes a second and %d for a change of a limit", perSecond, controls*entry)
@@ -99,7 +99,7 @@
 	if err := asking.Resolve(request, reply, start); err != nil {
 		t.Fatal(err)
 	}
-	wait, ok := asking.Want(limiter.Wish{Target: targetName, Incarnation: 1 << 40, Rank: 1}, start).(limiter.Wait)
+	wait, ok := asking.Decide(limiter.Attempt{Target: targetName, Incarnation: 1 << 40, Rank: 1}, start).(limiter.Wait)
 	if !ok || !wait.Until().After(start) || wait.Until().After(start.Add(time.Second)) {
 		t.Errorf("got %v, want a wait of the time until a permit", wait)
 	}
@@ -113,7 +113,7 @@
 	now := start
 	for _, data := range [][]byte{nil, {0xff}, {0x80}, []byte("words"), make([]byte, 1<<16)} {
 		if _, err := limiter.DecodeRequest(data, now); err == nil {
-			t.Errorf("% x is decoded as a question", data[:min(len(data), 8)])
+			t.Errorf("% x is decoded as a permit request", data[:min(len(data), 8)])
 		}
 		if _, err := limiter.DecodeReply(data, now); err == nil {
 			t.Errorf("% x is decoded as a reply", data[:min(len(data), 8)])
--- a/internal/limiter/coordinator.go
+++ b/internal/limiter/coordinator.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
+
+	"radishshed.example/radishshed/pkg/coordination/ranker"
 )
 
 const (
@@ -26,32 +27,13 @@
 )
 
 // Coordinators returns the VMs that may grant permits for a target, in the order in which
-// they have to be asked. They are chosen among the given ones by rendezvous hashing (Thaler
-// and Ravishankar, 1998), so that all routers choose the same.
+// they have to be asked. They are chosen among the given ones by rendezvous hashing, so that
+// all routers choose the same.
 func Coordinators(target string, vms []string) []string {
-	weights := make(map[string]uint64, len(vms))
-	for _, vm := range vms {
-		digest := fnv.New64a()
-		_, _ = digest.Write([]byte(target + "\x00" + vm)) // never fails, as documented by hash.Hash
-		weights[vm] = mix(digest.Sum64())
-	}
-	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
-	})
+	ranked := ranker.Rank(target, vms)
 	return ranked[:min(len(ranked), maxCoordinators)]
 }
 
-// mix spreads the last bytes of the hashed text over all bits (the finaliser of MurmurHash3,
-// Appleby).
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // bucket is the token bucket from which a coordinator grants the permits of a target. It
 // starts empty, so that a new coordinator adds nothing to what an earlier one has granted.
 type bucket struct {
@@ -149,10 +131,10 @@
 
 // fairWait returns half of the time in which the part of the demand of a router with the
 // given demand gets one permit. So the permits go to routers by their demand, and a target
-// causes about two questions for each permit however many routers there are.
+// causes about two permit requests for each permit however many routers there are.
 func (b *bucket) fairWait(rate, demandOfRouter float64, now time.Time) time.Duration {
-	const questionsPerPermit = 2
-	return seconds(b.demand.perSecond(now) / (rate * max(demandOfRouter, 1/maxWait.Seconds()) * questionsPerPermit))
+	const requestsPerPermit = 2
+	return seconds(b.demand.perSecond(now) / (rate * max(demandOfRouter, 1/maxWait.Seconds()) * requestsPerPermit))
 }
 
 // seconds returns a number of seconds as a duration of at most maxWait.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -10,11 +10,11 @@
 //
 // The load pattern: many routers, of which one may carry a large part of the traffic, have
 // more work for a target than it takes. Each of them sends what gets a permit, and the rest
-// elsewhere at once, without a question while the last answer holds. Since the limit counts
+// elsewhere at once, without a permit request while the last answer holds. Since the limit counts
 // requests, and targets without a limit get the rest, the permits go to the largest requests
 // (Ranker): the others cost those targets least.
 //
-// Use: Observe and Apply record limits, Want decides on a request, Grant answers other
+// Use: Observe and Apply record limits, Decide decides on a request, Grant answers other
 // routers, Resolve records their answers.
 //
 // A Limiter reads no clock and sends no messages: the time is an argument of its methods,
@@ -78,7 +78,7 @@
 
 	// As a router that sends requests.
 	demand    demand
-	wanted    uint64    // requests since the last question
+	wanted    uint64    // requests since the last permit request
 	waitUntil time.Time // no permit can be had before
 	// minRankUntil is until when no permit can be had for a rank below minRank.
 	minRank      float64
--- a/internal/limiter/permit.go
+++ b/internal/limiter/permit.go
@@ -20,7 +20,7 @@
 	waitJitter = 0.25
 )
 
-// Decision is the result of Want. The interface is sealed: its only implementations are
+// Decision is the result of Decide. The interface is sealed: its only implementations are
 // Free, Wait and Ask.
 type Decision interface{ isDecision() }
 
@@ -87,38 +87,38 @@
 	return math.Exp(-max(0, now.Sub(d.updatedAt).Seconds()) / demandDecayTime.Seconds())
 }
 
-// Wish is a request that a router would like to send to a target.
-type Wish struct {
+// Attempt is an attempt to serve a request that a router would like to make at a target.
+type Attempt struct {
 	// Target and Incarnation identify the run of the target. Required.
 	Target      string
 	Incarnation uint64
 	// Rank is the rank of the request among those of this router, from 0 to 1. Those of the
 	// highest ranks get the permits.
 	Rank float64
-	// Counted is whether the request was a Wish for another target before. It then adds
-	// nothing to the demand for this one.
+	// Counted is whether another target was tried for the request before. It then adds nothing
+	// to the demand for this one.
 	Counted bool
 }
 
-// Want decides on a request.
-func (l *Limiter) Want(w Wish, now time.Time) Decision {
+// Decide decides on an attempt.
+func (l *Limiter) Decide(a Attempt, now time.Time) Decision {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known, ok := l.known(w.Target, now)
-	if _, limited := known.requestsPerSecond(); !ok || !limited || known.incarnation < w.Incarnation {
+	known, ok := l.known(a.Target, now)
+	if _, limited := known.requestsPerSecond(); !ok || !limited || known.incarnation < a.Incarnation {
 		return Free{}
 	}
-	t := l.targets[w.Target]
-	if !w.Counted {
+	t := l.targets[a.Target]
+	if !a.Counted {
 		t.demand.add(1, now)
 		t.wanted++
 	}
-	if until := t.unavailableUntil(w.Rank); now.Before(until) {
+	if until := t.unavailableUntil(a.Rank); now.Before(until) {
 		return Wait{until}
 	}
 	wanted := t.wanted
 	t.wanted = 0
-	return Ask{PermitRequest{limit: known, wanted: wanted, demand: t.demand.perSecond(now), rank: w.Rank}}
+	return Ask{PermitRequest{limit: known, wanted: wanted, demand: t.demand.perSecond(now), rank: a.Rank}}
 }
 
 // unavailableUntil returns until when no permit can be had for a request of the rank.
--- a/internal/limiter/replay_test.go
+++ b/internal/limiter/replay_test.go
@@ -48,8 +48,8 @@
 	rankOfSent float64
 	sent       int
 
-	questions int // to coordinators on other VMs
-	elsewhere int // requests without a permit
+	permitRequests int // to coordinators on other VMs
+	elsewhere      int // requests without a permit
 }
 
 // replayRouter is a router. Routers in different groups cannot reach each other.
@@ -133,7 +133,7 @@
 	rank := f.random.Float64()
 	for n, i := range f.random.Perm(len(f.targets)) {
 		t := f.targets[i]
-		switch d := r.limiter.Want(limiter.Wish{Target: t.name, Incarnation: t.incarnation, Rank: rank, Counted: n > 0}, f.now).(type) {
+		switch d := r.limiter.Decide(limiter.Attempt{Target: t.name, Incarnation: t.incarnation, Rank: rank, Counted: n > 0}, f.now).(type) {
 		case limiter.Free:
 			f.send(r, t)
 			return
@@ -161,7 +161,7 @@
 		if coordinator == r {
 			delay = 0
 		} else {
-			f.questions++
+			f.permitRequests++
 		}
 		reply := coordinator.limiter.Grant(request, rank, f.now.Add(delay))
 		_ = r.limiter.Resolve(request, reply, f.now.Add(2*delay)) // as above
@@ -238,7 +238,7 @@
 			f.run(2*time.Second, work)
 			f.limitAll(c.rate)
 			since := f.settle(work)
-			f.questions, f.rankOfSent, f.sent = 0, 0, 0
+			f.permitRequests, f.rankOfSent, f.sent = 0, 0, 0
 			f.run(60*time.Second, work)
 			f.check(t, "calm", c.rate, since, minUse)
 			mean := f.rankOfSent / float64(f.sent)
@@ -246,11 +246,11 @@
 			if mean < minMeanRank {
 				t.Errorf("the mean rank of the requests with a permit is %.2f, at least %.2f is wanted", mean, minMeanRank)
 			}
-			perTarget := float64(f.questions) / (replayTargets * 60)
+			perTarget := float64(f.permitRequests) / (replayTargets * 60)
 			allowed := 1.5 * (2*max(c.rate, 0.25) + float64(c.routers)/maxWait.Seconds())
-			t.Logf("%.2f questions a second for each target", perTarget)
+			t.Logf("%.2f permit requests a second for each target", perTarget)
 			if perTarget > allowed {
-				t.Errorf("%.2f questions a second for each target, at most %.2f may", perTarget, allowed)
+				t.Errorf("%.2f permit requests a second for each target, at most %.2f may", perTarget, allowed)
 			}
 		})
 	}
--- a/internal/limitsharer/choice.go
+++ b/internal/limitsharer/choice.go
@@ -10,17 +10,17 @@
 	"radishshed.example/radishshed/internal/limiter"
 )
 
-// maxQuestions is how many coordinators are asked for one attempt of a request.
-const maxQuestions = 4
+// maxPermitRequests is how many coordinators are asked for one attempt of a request.
+const maxPermitRequests = 4
 
 // Choice is the choice of a target for one attempt of a request. Its caller chooses a target
 // that is not to be avoided and asks whether it may use it, until it may or none is left.
 type Choice struct {
-	sharer    *Sharer
-	rank      float64
-	counted   bool
-	questions int
-	avoid     []string
+	sharer         *Sharer
+	rank           float64
+	counted        bool
+	permitRequests int
+	avoid          []string
 }
 
 // Begin begins the choice of a target for a request of the given rank among those of this
@@ -34,13 +34,13 @@
 // is to be avoided, and so are others for which no permit can be had at the moment.
 func (c *Choice) Permits(ctx context.Context, target string, incarnation uint64) bool {
 	l := c.sharer.limiter
-	decision := l.Want(limiter.Wish{Target: target, Incarnation: incarnation, Rank: c.rank, Counted: c.counted}, time.Now())
+	decision := l.Decide(limiter.Attempt{Target: target, Incarnation: incarnation, Rank: c.rank, Counted: c.counted}, time.Now())
 	c.counted = true
 	switch d := decision.(type) {
 	case limiter.Free:
 		return true
 	case limiter.Ask:
-		c.questions++
+		c.permitRequests++
 		if c.sharer.ask(ctx, d.Request()) {
 			return true
 		}
@@ -48,7 +48,7 @@
 	default:
 		panic(errors.Errorf("limitsharer: unknown decision of the limiter %T", d))
 	}
-	if c.questions >= maxQuestions {
+	if c.permitRequests >= maxPermitRequests {
 		c.avoid = l.Limited(time.Now())
 	} else {
 		c.avoid, _ = l.Waiting(c.rank, time.Now())
@@ -63,14 +63,14 @@
 		return nil
 	}
 	_, freeAt := c.sharer.limiter.Waiting(c.rank, time.Now())
-	return &UsedUpError{targets: c.avoid, questions: c.questions, freeAt: freeAt}
+	return &UsedUpError{targets: c.avoid, permitRequests: c.permitRequests, freeAt: freeAt}
 }
 
 // UsedUpError means that the limits of all targets that could take a request are used up.
 type UsedUpError struct {
-	targets   []string
-	questions int
-	freeAt    time.Time
+	targets        []string
+	permitRequests int
+	freeAt         time.Time
 }
 
 // Error implements error.
@@ -81,8 +81,8 @@
 // Targets returns the names of the targets.
 func (e *UsedUpError) Targets() []string { return e.targets }
 
-// Questions returns how many coordinators have been asked for a permit.
-func (e *UsedUpError) Questions() int { return e.questions }
+// PermitRequests returns how many coordinators have been asked for a permit.
+func (e *UsedUpError) PermitRequests() int { return e.permitRequests }
 
 // FreeAt returns when a permit may be had. It is zero if that is not known.
 func (e *UsedUpError) FreeAt() time.Time { return e.freeAt }
