--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,7 +109,7 @@
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
 	limits                          *limitsharer.Sharer
-	ranker                          *limiter.Ranker
+	sizeRanker                      *limiter.SizeRanker
 }
 
 // New returns a gateway that is not running yet.
@@ -130,7 +130,7 @@
 		spender:        spender.New(spender.Config{Process: process, StartedAt: now}),
 		fetches:        make(chan *linker.Peer, maxQueuedFetches),
 		investigations: make(chan struct{}, maxInvestigations),
-		ranker:         limiter.NewRanker(limiter.RankerConfig{}),
+		sizeRanker:     limiter.NewSizeRanker(limiter.SizeRankerConfig{}),
 	}
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -61,14 +61,14 @@
 	now := time.Now()
 	size := q.metadata.config.PromptTokens
 	if q.attempts == 0 {
-		g.ranker.Record(q.service.Name(), size)
+		g.sizeRanker.Record(q.service.Name(), size)
 	}
 	limited := g.limits.Limited(now)
 	if len(limited) == 0 {
 		return 0 // nothing needs a permit
 	}
 	if !g.placer.HasUsable(q.service.Name(), limited, now, g.inLeaseGrace(now)) {
-		return g.ranker.Random()
+		return g.sizeRanker.Random()
 	}
-	return g.ranker.Rank(q.service.Name(), size)
+	return g.sizeRanker.Rank(q.service.Name(), size)
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -12,7 +12,7 @@
 // more work for a target than it takes. Each of them sends what gets a permit, and the rest
 // elsewhere at once, without a permit request while the last answer holds. Since the limit counts
 // requests, and targets without a limit get the rest, the permits go to the largest requests
-// (Ranker): the others cost those targets least.
+// (SizeRanker): the others cost those targets least.
 //
 // Use: Observe and Apply record limits, Decide decides on a request, Grant answers other
 // routers, Resolve records their answers.
--- a/internal/limiter/ranker.go
+++ b/internal/limiter/sizes.go
@@ -8,9 +8,9 @@
 // rankedSizes is the number of recent requests of a service among which one is ranked.
 const rankedSizes = 128
 
-// Ranker ranks the requests of a service by their size among the recent ones of the same
+// SizeRanker ranks the requests of a service by their size among the recent ones of the same
 // router. It is safe for concurrent use.
-type Ranker struct {
+type SizeRanker struct {
 	random func() float64
 
 	mutex    sync.Mutex
@@ -23,23 +23,23 @@
 	next  int
 }
 
-// RankerConfig configures a Ranker.
-type RankerConfig struct {
+// SizeRankerConfig configures a SizeRanker.
+type SizeRankerConfig struct {
 	// Random returns a random number in [0, 1). Default: rand.Float64.
 	Random func() float64
 }
 
-// NewRanker returns a Ranker that knows no request.
-func NewRanker(c RankerConfig) *Ranker {
+// NewSizeRanker returns a SizeRanker that knows no request.
+func NewSizeRanker(c SizeRankerConfig) *SizeRanker {
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
-	return &Ranker{random: c.Random, services: map[string]*recentSizes{}}
+	return &SizeRanker{random: c.Random, services: map[string]*recentSizes{}}
 }
 
 // Record records the size of a request in any unit that requests of the service share. The
 // number of services is that of the catalogue.
-func (r *Ranker) Record(service string, size int64) {
+func (r *SizeRanker) Record(service string, size int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.services[service]
@@ -57,7 +57,7 @@
 
 // Rank returns the part of the recent requests of the service that are smaller, from 0 to 1.
 // The order of requests of the same size is random.
-func (r *Ranker) Rank(service string, size int64) float64 {
+func (r *SizeRanker) Rank(service string, size int64) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.services[service]
@@ -78,4 +78,4 @@
 
 // Random returns a rank for a request that has nowhere else to go, by which all sizes have
 // the same chance.
-func (r *Ranker) Random() float64 { return r.random() }
+func (r *SizeRanker) Random() float64 { return r.random() }
