router, selector, adviser: a target behind the own interface that says that it leaves gets no new work

Cause: as at the gateway, where the memory of departures was part of the placer; the own interface had none. Change: adviser.Departures decides for both; the forwarder reads X-Target-Leaving, an entry tells the other routers. At the gateway nothing changes but the place of the code. Not done there: pauses. Measured: own test with real processes: none of the requests of 4 s reaches the target, all are served elsewhere.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,7 +30,10 @@
 	RequestIDHeader = "X-Request-Id"
 	// RequestLimitHeader is the header in which a target names the requests a second that it
 	// takes from all routers together, as a decimal number.
-	RequestLimitHeader    = "X-Request-Limit"
+	RequestLimitHeader = "X-Request-Limit"
+	// LeavingHeader is the header with which a target says that it leaves, as LeavingValue.
+	LeavingHeader         = "X-Target-Leaving"
+	LeavingValue          = "1"
 	dialTimeout           = 2 * time.Second
 	queryTimeout          = 2 * time.Second
 	maxResponseBytes      = 64 << 20
@@ -175,7 +179,10 @@
 func newResponse(r *http.Response) *Response {
 	return &Response{
 		status: r.StatusCode, contentType: r.Header.Get("Content-Type"), body: r.Body, length: r.ContentLength,
-		advice: adviser.New(adviser.Config{RateLimit: adviser.ParseRateLimit(r.Header.Values(RequestLimitHeader))}),
+		advice: adviser.New(adviser.Config{
+			RateLimit: adviser.ParseRateLimit(r.Header.Values(RequestLimitHeader)),
+			Leaving:   slices.Equal(r.Header.Values(LeavingHeader), []string{LeavingValue}),
+		}),
 	}
 }
 
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,14 +14,6 @@
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
-const (
-	// departurePrefix is the key prefix of disseminator entries that name a target which
-	// has said that it leaves. The incarnation of the version is that of the target.
-	departurePrefix = "leaving/"
-	// departureLease is how long such an entry is distributed to new processes.
-	departureLease = 5 * time.Minute
-)
-
 // applyAdvice acts on what a target says about itself in a response.
 func (g *Gateway) applyAdvice(p *placer.Placement, advice adviser.Advice) {
 	now := time.Now()
@@ -37,17 +28,13 @@
 
 // applyLeaving records that a target leaves if it says so, and tells the other processes.
 func (g *Gateway) applyLeaving(target selector.Announcement, advice adviser.Advice, now time.Time) {
-	if !advice.Leaving() || !g.placer.RecordLeaving(target.Name(), target.Incarnation(), now) {
+	d := adviser.NewDeparture(target.Name(), target.Incarnation())
+	if !advice.Leaving() || !g.placer.RecordDeparture(d, now) {
 		return
 	}
-	g.logDeparture(target.Name(), target.Incarnation(), "response")
-	err := g.publish(disseminator.NewEntry(disseminator.EntryConfig{
-		Key:       departurePrefix + target.Name(),
-		Version:   disseminator.NewVersion(target.Incarnation(), 1),
-		ExpiresAt: now.Add(departureLease),
-	}))
-	if err != nil {
-		g.log.Warn("cannot publish that a target leaves", zap.String("target", target.Name()), recorder.Err(err))
+	g.logDeparture(d, "response")
+	if err := g.publish(d.Entry(now)); err != nil {
+		g.log.Warn("cannot publish that a target leaves", zap.String("target", d.Target()), recorder.Err(err))
 	}
 }
 
@@ -64,18 +51,15 @@
 	return false
 }
 
-func isDeparture(e disseminator.Entry) bool { return strings.HasPrefix(e.Key(), departurePrefix) }
-
 // applyDeparture records what another router has heard of a target.
-func (g *Gateway) applyDeparture(e disseminator.Entry, now time.Time) {
-	name := strings.TrimPrefix(e.Key(), departurePrefix)
-	if g.placer.RecordLeaving(name, e.Version().Incarnation(), now) {
-		g.logDeparture(name, e.Version().Incarnation(), "process")
+func (g *Gateway) applyDeparture(d adviser.Departure, now time.Time) {
+	if g.placer.RecordDeparture(d, now) {
+		g.logDeparture(d, "process")
 	}
 }
 
-func (g *Gateway) logDeparture(target string, incarnation uint64, source string) {
-	g.log.Info("target says that it leaves", zap.String("target", target), zap.Uint64("incarnation", incarnation), zap.String("source", source))
+func (g *Gateway) logDeparture(d adviser.Departure, source string) {
+	g.log.Info("target says that it leaves", zap.String("target", d.Target()), zap.Uint64("incarnation", d.Incarnation()), zap.String("source", source))
 }
 
 // publish distributes an entry to all processes. While control, which passes entries on,
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
@@ -181,8 +182,8 @@
 	g.verdicts.Apply(entries, now)
 	g.limits.Apply(entries, now)
 	for _, e := range entries {
-		if isDeparture(e) {
-			g.applyDeparture(e, now)
+		if d, ok := adviser.DepartureFrom(e); ok {
+			g.applyDeparture(d, now)
 			continue
 		}
 		if !selector.IsTarget(e) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -28,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/estimator"
 	"radishshed.example/radishshed/internal/selector"
 )
@@ -98,26 +99,12 @@
 	targets    map[string]*target
 	byService  map[string][]*target
 	speeds     map[string]*estimator.Estimator // by service
-	departures map[string]departure            // by the name of the target
+	departures *adviser.Departures
 }
 
-// departure is a run of a target that has said that it leaves.
-type departure struct {
-	incarnation uint64
-	forgottenAt time.Time
-}
-
-const (
-	// departureRetention is how long it is remembered that a run of a target leaves. By then
-	// it has ended.
-	departureRetention = 10 * time.Minute
-	// maxDepartures bounds the number of remembered departures.
-	maxDepartures = 4096
-)
-
 // New returns a placer without targets.
 func New() *Placer {
-	return &Placer{targets: map[string]*target{}, byService: map[string][]*target{}, speeds: map[string]*estimator.Estimator{}, departures: map[string]departure{}}
+	return &Placer{targets: map[string]*target{}, byService: map[string][]*target{}, speeds: map[string]*estimator.Estimator{}, departures: adviser.NewDepartures()}
 }
 
 // Change is the effect of an announcement on the set of targets.
@@ -136,7 +123,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	_, leaving := a.State().(selector.Leaving)
-	leaving = leaving || p.hasDeparted(a.Name(), a.Incarnation())
+	leaving = leaving || p.departures.Contains(adviser.NewDeparture(a.Name(), a.Incarnation()))
 	old, known := p.targets[a.Name()]
 	if known && old.announcement.Incarnation() > a.Incarnation() {
 		return Unchanged
@@ -163,35 +150,15 @@
 	return Joined
 }
 
-// RecordLeaving records that a run of a target has said that it leaves, whatever its
+// RecordDeparture records that a run of a target has said that it leaves, whatever its
 // announcements say. It reports whether that is new.
-func (p *Placer) RecordLeaving(name string, incarnation uint64, now time.Time) bool {
+func (p *Placer) RecordDeparture(d adviser.Departure, now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.hasDeparted(name, incarnation) {
-		return false
-	}
-	if len(p.departures) >= maxDepartures {
-		for other, d := range p.departures {
-			if now.After(d.forgottenAt) {
-				delete(p.departures, other)
-			}
-		}
-	}
-	if t, ok := p.targets[name]; ok && t.announcement.Incarnation() <= incarnation {
+	if t, ok := p.targets[d.Target()]; ok && t.announcement.Incarnation() <= d.Incarnation() {
 		t.leaving = true
 	}
-	if len(p.departures) >= maxDepartures {
-		return false
-	}
-	p.departures[name] = departure{incarnation, now.Add(departureRetention)}
-	return true
-}
-
-// hasDeparted reports whether a run of a target, or a later one, has said that it leaves.
-func (p *Placer) hasDeparted(name string, incarnation uint64) bool {
-	d, ok := p.departures[name]
-	return ok && incarnation <= d.incarnation
+	return p.departures.Add(d, now)
 }
 
 // removeSuperseded removes targets that have the address of the announced
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/selector"
 )
@@ -228,7 +229,7 @@
 func TestDepartedRunStaysAway(t *testing.T) {
 	const name, address = "target-0", "10.0.0.0:80"
 	p := newPlacer(t, plainService, 1)
-	if !p.RecordLeaving(name, 1, start) || p.RecordLeaving(name, 1, start) {
+	if !p.RecordDeparture(adviser.NewDeparture(name, 1), start) || p.RecordDeparture(adviser.NewDeparture(name, 1), start) {
 		t.Error("only the first statement is new")
 	}
 	usable := func() int { return p.CountUsable(plainService, start, false) }
--- a/internal/proof/limit_test.go
+++ b/internal/proof/limit_test.go
@@ -29,6 +29,7 @@
 	)
 	var f *fleet
 	var arrivals atomic.Int64
+	var leaving atomic.Bool
 	BeforeAll(func() {
 		f = newFleet(3, 3)
 		var routers []string
@@ -37,7 +38,7 @@
 		}
 		target := simulator.New(simulator.Config{
 			Name: "limited-1", Address: freeAddress(), DataCentre: "a", Routers: routers, Key: targetKey, Services: []string{"assistant"},
-			Capacity: 64, RequestLimit: limit, OnRequest: func() { arrivals.Add(1) }, Log: zap.NewNop(),
+			Capacity: 64, RequestLimit: limit, OnRequest: func() { arrivals.Add(1) }, SaysLeaving: leaving.Load, Log: zap.NewNop(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
@@ -99,4 +100,14 @@
 		Expect(arrivals.Load() - before).To(BeNumerically("<=", maxRequests))
 		Expect(served).To(BeNumerically(">=", len(results)*9/10))
 	})
+
+	It("gets nothing once it says that it leaves, though its announcements call it serving", func() {
+		leaving.Store(true)
+		load(settle) // some response of it has said so by then
+		before := arrivals.Load()
+		for _, r := range load(watched / 2) {
+			Expect(r.status).To(Equal(http.StatusOK), r.body)
+		}
+		Expect(arrivals.Load()).To(Equal(before))
+	})
 })
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -114,6 +114,7 @@
 	r.selector.Apply(entries)
 	r.failures.apply(entries)
 	r.limits.Apply(entries, time.Now())
+	r.applyDepartures(entries)
 }
 
 // handle handles a message from a peer.
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -37,7 +36,7 @@
 	if failure != nil {
 		return failure
 	}
-	j.router.limits.Observe(target.Name(), target.Incarnation(), response.Advice(), time.Now())
+	j.router.applyAdvice(target, response.Advice())
 	_, isModel := a.Service().Kind().(archiver.Model)
 	if isModel && engineRefused(response.Status()) {
 		_ = response.Body().Close() // the refusal is not relayed to the caller
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
@@ -78,8 +79,9 @@
 	registry    atomic.Pointer[registry]
 	counters    sync.Map // service name to *classCounters
 
-	mutex   sync.Mutex // serialises replacement of the registry
-	changed chan struct{}
+	mutex      sync.Mutex // serialises replacement of the registry
+	departures *adviser.Departures
+	changed    chan struct{}
 }
 
 // Config configures a selector.
@@ -98,7 +100,7 @@
 	if config.RouterCount == nil {
 		config.RouterCount = func() int { return 1 }
 	}
-	s := &Selector{now: config.Now, routerCount: config.RouterCount, changed: make(chan struct{})}
+	s := &Selector{now: config.Now, routerCount: config.RouterCount, departures: adviser.NewDepartures(), changed: make(chan struct{})}
 	s.registry.Store(&registry{map[string]*Target{}, map[string][]*Target{}})
 	return s
 }
@@ -118,11 +120,25 @@
 			continue // the router that received the announcement has validated it
 		}
 		next = next.with(a, e.ExpiresAt())
+		if t := next.byName[a.name]; s.departures.Contains(adviser.NewDeparture(t.name, t.incarnation)) {
+			t.leaving.Store(true)
+		}
 	}
 	s.registry.Store(next)
 	s.notifyChanged()
 }
 
+// RecordDeparture records that a run of a target has said that it leaves, whatever its
+// announcements say. It reports whether that is new.
+func (s *Selector) RecordDeparture(d adviser.Departure) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if t, ok := s.registry.Load().byName[d.Target()]; ok && t.incarnation <= d.Incarnation() {
+		t.leaving.Store(true)
+	}
+	return s.departures.Add(d, s.now())
+}
+
 // with returns the registry with the announcement applied.
 func (r *registry) with(a Announcement, expiresAt time.Time) *registry {
 	old := r.byName[a.name]
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -60,6 +60,9 @@
 	// RequestLimit, if positive, is the limit of requests a second from all routers together
 	// that the target names in its responses. It does not enforce the limit.
 	RequestLimit float64
+	// SaysLeaving, if set, reports whether the target says in its responses that it leaves.
+	// Its announcements still call it serving.
+	SaysLeaving func() bool
 	// OnRequest, if set, is called for each request of a caller that arrives.
 	OnRequest func()
 	// Crash is called when a request whose body contains CrashMarker is run.
@@ -131,6 +134,9 @@
 	if t.config.RequestLimit > 0 {
 		w.Header().Set(forwarder.RequestLimitHeader, strconv.FormatFloat(t.config.RequestLimit, 'f', -1, 64))
 	}
+	if t.config.SaysLeaving != nil && t.config.SaysLeaving() {
+		w.Header().Set(forwarder.LeavingHeader, forwarder.LeavingValue)
+	}
 	if t.config.OnRequest != nil && r.Header.Get(requestIDHeader) != "" {
 		t.config.OnRequest()
 	}
