--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,8 +31,9 @@
 	// RequestLimitHeader is the header in which a target names the requests a second that it
 	// takes from all routers together, as a decimal number.
 	RequestLimitHeader = "X-Request-Limit"
-	// LeavingHeader is the header with which a target says that it leaves, as LeavingValue.
-	LeavingHeader         = "X-Target-Leaving"
+	// LeavingHeader is the header with which a target says that it leaves.
+	LeavingHeader = "X-Target-Leaving"
+	// LeavingValue is the value of LeavingHeader.
 	LeavingValue          = "1"
 	dialTimeout           = 2 * time.Second
 	queryTimeout          = 2 * time.Second
