--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -83,3 +83,21 @@
 	}
 	return nil
 }
+
+// rejection returns the outcome of an attempt that the target refused without running it.
+func rejection(advice adviser.Advice) placer.Outcome {
+	if !advice.PausedUntil().IsZero() {
+		return placer.Paused{}
+	}
+	return placer.Rejected{}
+}
+
+// notRun reports whether the outcome guarantees that the target has not run the request.
+func notRun(o placer.Outcome) bool {
+	switch o.(type) {
+	case placer.Rejected, placer.Paused:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -10,6 +10,7 @@
 
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 // newLimitSharer returns the sharer of the limits of targets. Lenders coordinate them, since
@@ -27,12 +28,7 @@
 
 // lenderPeer returns the link to a lender, and whether there is one.
 func (g *Gateway) lenderPeer(vm string) (limitsharer.Peer, bool) {
-	for _, p := range g.lenderPeers() {
-		if p.Identity().Process().VM() == vm {
-			return p, true
-		}
-	}
-	return nil, false
+	return g.endpoint.PeerOnVM(vm, linker.Router)
 }
 
 // acquirePlacement chooses a target and gets the permit to send a request to it, if the
@@ -41,8 +37,8 @@
 	choice := q.gateway.limits.Begin(q.rank())
 	for {
 		placement, err := q.choosePlacement(choice.Avoid())
-		if usedUp := choice.Error(); errors.Is(err, placer.ErrNoTarget) && usedUp != nil {
-			return nil, usedUp
+		if errors.Is(err, placer.ErrNoTarget) {
+			return nil, choice.Explain(err)
 		}
 		if err != nil {
 			return nil, err
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
@@ -381,24 +380,6 @@
 	return q.relayWhole(ctx, p, response, metadata)
 }
 
-// rejection returns the outcome of an attempt that the target refused without running it.
-func rejection(advice adviser.Advice) placer.Outcome {
-	if !advice.PausedUntil().IsZero() {
-		return placer.Paused{}
-	}
-	return placer.Rejected{}
-}
-
-// notRun reports whether the outcome guarantees that the target has not run the request.
-func notRun(o placer.Outcome) bool {
-	switch o.(type) {
-	case placer.Rejected, placer.Paused:
-		return true
-	default:
-		return false
-	}
-}
-
 // resumeEventID returns the identifier of the last event that the caller has received,
 // after which the stream is to resume, or "".
 func (q *request) resumeEventID() string {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -4,8 +4,8 @@
 // routers together. That can be less than one request a router in the time that counts, so
 // no router can have a part of its own. Instead each request to such a target needs a
 // permit. A coordinator, one of the routers, grants the permits of a target from a single
-// token bucket. Further coordinators stand in for one that cannot be reached, at a quarter
-// of the rate each, so that no partition and no disagreement about who is reachable lets
+// token bucket. Two more stand in for one that cannot be reached, each at a quarter of the
+// rate of the one before it, so that no partition and no disagreement about who is reachable lets
 // through more than a third above the limit.
 //
 // The load pattern: many routers, of which one may carry a large part of the traffic, have
--- a/internal/limitsharer/choice.go
+++ b/internal/limitsharer/choice.go
@@ -57,10 +57,11 @@
 	return false
 }
 
-// Error returns the reason why no target is left, or nil if none had to be avoided.
-func (c *Choice) Error() error {
+// Explain returns the reason why no target is left: a UsedUpError if some had to be avoided,
+// and otherwise the given error.
+func (c *Choice) Explain(err error) error {
 	if len(c.avoid) == 0 {
-		return nil
+		return err
 	}
 	_, freeAt := c.sharer.limiter.Waiting(c.rank, time.Now())
 	return &UsedUpError{targets: c.avoid, permitRequests: c.permitRequests, freeAt: freeAt}
