departuresharer: departures of targets are shared by one piece for both interfaces

Change: package departuresharer serves both, as verdictsharer and limitsharer do. The head is parsed once, when it is matched to its request. The limiter takes its tie break from package ranker. Choosing a target has its own file in the gateway. Behaviour stays.

--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,49 +18,23 @@
 	now := time.Now()
 	target := p.Target()
 	g.limits.Observe(target.Name(), target.Incarnation(), advice, now)
-	g.applyLeaving(target, advice, now)
+	g.departures.Observe(target.Name(), target.Incarnation(), advice, now)
 	if until := advice.PausedUntil(); !until.IsZero() {
 		p.RecordPause(until, now)
 		g.log.Info("target wants no requests from this router for a while", zap.String("target", target.Name()), zap.Duration("remaining", until.Sub(now)))
 	}
 }
 
-// applyLeaving records that a target leaves if it says so, and tells the other processes.
-func (g *Gateway) applyLeaving(target selector.Announcement, advice adviser.Advice, now time.Time) {
-	d := adviser.NewDeparture(target.Name(), target.Incarnation())
-	if !advice.Leaving() || !g.placer.RecordDeparture(d, now) {
-		return
-	}
-	g.logDeparture(d, "response")
-	if err := g.publish(d.Entry(now)); err != nil {
-		g.log.Warn("cannot publish that a target leaves", zap.String("target", d.Target()), recorder.Err(err))
-	}
-}
-
 // matches reports whether a response belongs to the request. One that belongs to another
 // request may come late, so only what holds for the rest of the target's run is taken from it.
-func (q *request) matches(target selector.Announcement, status int, header http.Header) bool {
-	g := q.gateway
-	now := time.Now()
-	m := g.protocol.ParseResponse(TargetResponse{Status: status, Header: header, ReceivedAt: now})
+func (q *request) matches(target selector.Announcement, m ResponseMetadata) bool {
 	if m.ID() == q.metadata.ID() {
 		return true
 	}
-	g.applyLeaving(target, m.Advice(), now)
+	q.gateway.departures.Observe(target.Name(), target.Incarnation(), m.Advice(), time.Now())
 	return false
 }
 
-// applyDeparture records what another router has heard of a target.
-func (g *Gateway) applyDeparture(d adviser.Departure, now time.Time) {
-	if g.placer.RecordDeparture(d, now) {
-		g.logDeparture(d, "process")
-	}
-}
-
-func (g *Gateway) logDeparture(d adviser.Departure, source string) {
-	g.log.Info("target says that it leaves", zap.String("target", d.Target()), zap.Uint64("incarnation", d.Incarnation()), zap.String("source", source))
-}
-
 // publish distributes an entry to all processes. While control, which passes entries on,
 // cannot be reached, it sends the entry to the lenders.
 func (g *Gateway) publish(e disseminator.Entry) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 
 	"radishshed.example/radishshed/internal/bytecounter"
 	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/departuresharer"
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/limitsharer"
@@ -109,6 +110,7 @@
 	quarantiner                     *quarantiner.Quarantiner
 	verdicts                        *verdictsharer.Sharer
 	limits                          *limitsharer.Sharer
+	departures                      *departuresharer.Sharer
 	sizeRanker                      *limiter.SizeRanker
 }
 
@@ -143,6 +145,7 @@
 	g.quarantiner = quarantiner.New(quarantiner.Config{VM: c.Settings.VM()})
 	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
 	g.limits = g.newLimitSharer()
+	g.departures = departuresharer.New(departuresharer.Config{Record: g.placer.RecordDeparture, Publish: g.publish, Log: c.Log})
 	retries := c.Settings.RetryBudget()
 	window := retries.Window()
 	if window == 0 {
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
@@ -176,16 +175,13 @@
 func (g *Gateway) inLeaseGrace(now time.Time) bool { return now.UnixNano() < g.leaseGraceEndsAt.Load() }
 
 // handleEntries passes the target announcements among the received entries to the placer,
-// their limits to the limiter, and the verdicts to the quarantiner.
+// and the verdicts, limits and departures to those who share them.
 func (g *Gateway) handleEntries(entries []disseminator.Entry) {
 	now := time.Now()
 	g.verdicts.Apply(entries, now)
 	g.limits.Apply(entries, now)
+	g.departures.Apply(entries, now)
 	for _, e := range entries {
-		if d, ok := adviser.DepartureFrom(e); ok {
-			g.applyDeparture(d, now)
-			continue
-		}
 		if !selector.IsTarget(e) {
 			continue
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/placement.go
@@ -10,6 +10,7 @@
 
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/placer"
+	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
@@ -50,6 +51,27 @@
 	}
 }
 
+// choosePlacement chooses a target that is not among those to avoid.
+func (q *request) choosePlacement(avoid []string) (*placer.Placement, error) {
+	now := time.Now()
+	engine, _ := q.service.Engine()
+	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
+	return q.gateway.placer.Choose(placer.Request{
+		TokensPerEvent: engine.TokensPerEvent,
+		MaxEventGap:    q.route.MaxEventGap(),
+
+		Service:             q.service.Name(),
+		Segments:            q.metadata.config.Segments,
+		FirstEventObjective: q.route.FirstEventObjective(),
+		Exclude:             slices.Concat(q.excluded, avoid),
+		// While the own link is full, first events are late for that reason and say
+		// nothing about the targets.
+		RejectIfLate: isStream && q.attempts == 0 && !q.gateway.diverting.Load(),
+		IgnoreLeases: q.gateway.inLeaseGrace(now),
+		Now:          now,
+	})
+}
+
 // rank returns the rank by which the request gets a permit. Large requests are kept away from
 // targets that have no limit. If there are none, requests of all sizes have the same chance.
 func (q *request) rank() float64 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -276,27 +275,6 @@
 	}
 }
 
-// choosePlacement chooses a target that is not among those to avoid.
-func (q *request) choosePlacement(avoid []string) (*placer.Placement, error) {
-	now := time.Now()
-	engine, _ := q.service.Engine()
-	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
-	return q.gateway.placer.Choose(placer.Request{
-		TokensPerEvent: engine.TokensPerEvent,
-		MaxEventGap:    q.route.MaxEventGap(),
-
-		Service:             q.service.Name(),
-		Segments:            q.metadata.config.Segments,
-		FirstEventObjective: q.route.FirstEventObjective(),
-		Exclude:             slices.Concat(q.excluded, avoid),
-		// While the own link is full, first events are late for that reason and say
-		// nothing about the targets.
-		RejectIfLate: isStream && q.attempts == 0 && !q.gateway.diverting.Load(),
-		IgnoreLeases: q.gateway.inLeaseGrace(now),
-		Now:          now,
-	})
-}
-
 // result is the result of one attempt.
 type result struct {
 	outcome   placer.Outcome
@@ -329,6 +307,7 @@
 		return result{outcome: placer.Abandoned{}, err: context.DeadlineExceeded}
 	}
 	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
+	var metadata ResponseMetadata
 	targetRequest := exchanger.Request{
 		Address: target.Address(),
 		Method:  q.http.Method,
@@ -338,9 +317,12 @@
 			ID: q.metadata.ID(), Organisation: q.organisation, Target: target.Name(),
 			TimeLeft: timeLeft, Priority: q.priority, LastEventID: q.resumeEventID(),
 		})),
-		Body:            q.body,
-		NewConnection:   !q.repeatable(),
-		MatchesResponse: func(status int, h http.Header) bool { return q.matches(target, status, h) },
+		Body:          q.body,
+		NewConnection: !q.repeatable(),
+		MatchesResponse: func(status int, h http.Header) bool {
+			metadata = g.protocol.ParseResponse(TargetResponse{Status: status, Header: h, ReceivedAt: time.Now()})
+			return q.matches(target, metadata)
+		},
 	}
 	attemptCtx, endAttempt := context.WithCancel(ctx)
 	defer endAttempt()
@@ -362,7 +344,6 @@
 		return q.interruptedResult(ctx, err)
 	}
 	defer response.Close()
-	metadata := g.protocol.ParseResponse(TargetResponse{Status: response.Status(), Header: response.Header(), ReceivedAt: time.Now()})
 	if metadata.config.Load != nil {
 		p.RecordLoad(*metadata.config.Load, time.Now())
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -22,7 +22,6 @@
 package limiter
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -30,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/adviser"
+	"radishshed.example/radishshed/pkg/coordination/ranker"
 )
 
 const (
@@ -89,12 +89,10 @@
 
 // New returns a limiter that knows no limit.
 func New(c Config) *Limiter {
-	digest := fnv.New64a()
-	_, _ = digest.Write([]byte(c.VM)) // never fails, as documented by hash.Hash
 	if c.Random == nil {
 		c.Random = rand.Float64
 	}
-	return &Limiter{tieBreak: digest.Sum64() & (1<<tieBreakBits - 1), random: c.Random, targets: map[string]*target{}}
+	return &Limiter{tieBreak: ranker.Weight("", c.VM) & (1<<tieBreakBits - 1), random: c.Random, targets: map[string]*target{}}
 }
 
 // Observation is a response of a target and what it says about the target's limit.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -113,8 +113,9 @@
 func (r *Router) handleEntries(entries []disseminator.Entry) {
 	r.selector.Apply(entries)
 	r.failures.apply(entries)
-	r.limits.Apply(entries, time.Now())
-	r.applyDepartures(entries)
+	now := time.Now()
+	r.limits.Apply(entries, now)
+	r.departures.Apply(entries, now)
 }
 
 // handle handles a message from a peer.
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -36,7 +37,9 @@
 	if failure != nil {
 		return failure
 	}
-	j.router.applyAdvice(target, response.Advice())
+	now := time.Now()
+	j.router.limits.Observe(target.Name(), target.Incarnation(), response.Advice(), now)
+	j.router.departures.Observe(target.Name(), target.Incarnation(), response.Advice(), now)
 	_, isModel := a.Service().Kind().(archiver.Model)
 	if isModel && engineRefused(response.Status()) {
 		_ = response.Body().Close() // the refusal is not relayed to the caller
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 
 	"radishshed.example/radishshed/internal/committer"
 	"radishshed.example/radishshed/internal/configurer"
+	"radishshed.example/radishshed/internal/departuresharer"
 	"radishshed.example/radishshed/internal/forwarder"
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
@@ -62,6 +63,7 @@
 	retireOnce    sync.Once
 
 	limits     *limitsharer.Sharer
+	departures *departuresharer.Sharer
 	controlVMs limitsharer.ControlVMs
 
 	configuration   atomic.Pointer[archiver.Configuration]
@@ -121,6 +123,7 @@
 	r.limits = limitsharer.New(limitsharer.Config{
 		VM: config.Settings.VM(), Candidates: r.controlVMs.List, Peer: r.controlPeer, Publish: r.disseminator.Put, Metrics: r.metrics, Log: r.log,
 	})
+	r.departures = departuresharer.New(departuresharer.Config{Record: r.selector.RecordDeparture, Publish: r.disseminator.Put, Log: r.log})
 	r.committer = committer.New(committer.Config{
 		Process:       r.process,
 		ControlClient: r,
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -130,13 +130,13 @@
 
 // RecordDeparture records that a run of a target has said that it leaves, whatever its
 // announcements say. It reports whether that is new.
-func (s *Selector) RecordDeparture(d adviser.Departure) bool {
+func (s *Selector) RecordDeparture(d adviser.Departure, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if t, ok := s.registry.Load().byName[d.Target()]; ok && t.incarnation <= d.Incarnation() {
 		t.leaving.Store(true)
 	}
-	return s.departures.Add(d, s.now())
+	return s.departures.Add(d, now)
 }
 
 // with returns the registry with the announcement applied.
