selector, gateway: log the software versions of targets, and which streams callers take up

Logs could not tell a stream that a router resumes itself from one that a caller takes up elsewhere, nor the versions. Announcements now carry the software version, which nothing reads yet; log lines of requests carry it with the stream and the event after which the request goes on.

--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -190,7 +190,7 @@
 			g.log.Warn("cannot decode the announcement of a target", zap.String("key", e.Key()), recorder.Err(err))
 			continue
 		}
-		fields := []zap.Field{zap.String("target", a.Name()), zap.String("address", a.Address()),
+		fields := []zap.Field{zap.String("target", a.Name()), zap.String("address", a.Address()), zap.String("softwareVersion", a.SoftwareVersion()),
 			zap.Uint64("incarnation", a.Incarnation()), zap.Uint64("sequence", a.Sequence())}
 		switch g.placer.Apply(a, e.ExpiresAt()) {
 		case placer.Joined:
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -43,6 +43,9 @@
 	// LastEventID identifies the last event that the caller has received of an
 	// interrupted stream.
 	LastEventID string
+	// ResumedStream identifies the caller's attempt that brought the first event of that
+	// stream, or is empty.
+	ResumedStream string
 }
 
 // RequestMetadata is the metadata that a caller sends with its request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,7 @@
 	// expectedFirstEvent is the placer's estimate for the last attempt.
 	expectedFirstEvent time.Duration
 	target             string
+	softwareVersion    string // of the target
 }
 
 // serve handles a request of a caller.
@@ -299,7 +300,7 @@
 func (q *request) attempt(ctx context.Context, p *placer.Placement) result {
 	g := q.gateway
 	target := p.Target()
-	q.target = target.Name()
+	q.target, q.softwareVersion = target.Name(), target.SoftwareVersion()
 	q.expectedFirstEvent = p.ExpectedFirstEvent()
 	q.excluded = append(q.excluded, target.Name())
 	timeLeft := time.Until(q.deadline)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -132,7 +132,7 @@
 	}
 	q.gateway.log.Info(event, append([]zap.Field{
 		zap.String("request", q.metadata.ID()), zap.String("route", q.route.Name()), zap.String("organisation", q.organisation),
-		zap.String("target", q.target), zap.Int("attempts", q.attempts), zap.Uint64("catalogue", number),
+		zap.String("target", q.target), zap.String("softwareVersion", q.softwareVersion), zap.String("resumes", q.metadata.config.ResumedStream), zap.String("afterEvent", q.resumeEventID()), zap.Int("attempts", q.attempts), zap.Uint64("catalogue", number),
 		zap.Int64("reserved", q.reservation.total()), zap.Int("loans", len(q.reservation.loans)), zap.Int64("delivered", q.deliveredTokens), zap.Duration("expectedFirstEvent", q.expectedFirstEvent), zap.Duration("took", time.Since(q.arrivedAt)),
 	}, fields...)...)
 }
--- a/internal/selector/target.go
+++ b/internal/selector/target.go
@@ -50,6 +50,7 @@
 	name        string
 	address     string
 	dataCentre  string
+	software    string
 	incarnation uint64
 	sequence    uint64
 	services    []string
@@ -80,6 +81,8 @@
 	Address string
 	// DataCentre is the data centre in which the target runs.
 	DataCentre string
+	// SoftwareVersion is the version of the target's software, if it states one.
+	SoftwareVersion string
 	// Incarnation and Sequence order the announcements. Required.
 	Incarnation, Sequence uint64
 	// Services are the services that the target serves. Required.
@@ -94,7 +97,7 @@
 // NewAnnouncement returns a validated announcement.
 func NewAnnouncement(c AnnouncementConfig) (Announcement, error) {
 	a := Announcement{
-		name: c.Name, address: c.Address, dataCentre: c.DataCentre, incarnation: c.Incarnation,
+		name: c.Name, address: c.Address, dataCentre: c.DataCentre, software: c.SoftwareVersion, incarnation: c.Incarnation,
 		sequence: c.Sequence, services: c.Services, capacity: c.Capacity, state: c.State,
 	}
 	return a, a.check()
@@ -110,6 +113,10 @@
 // DataCentre returns the data centre in which the target runs.
 func (a Announcement) DataCentre() string { return a.dataCentre }
 
+// SoftwareVersion returns the version of the target's software, or "" if the target does
+// not state one. Streams of different versions do not fit together.
+func (a Announcement) SoftwareVersion() string { return a.software }
+
 // Incarnation returns the incarnation of the target.
 func (a Announcement) Incarnation() uint64 { return a.incarnation }
 
@@ -144,6 +151,7 @@
 	Name        string   `json:"name"`
 	Address     string   `json:"address"`
 	DataCentre  string   `json:"dataCentre"`
+	Software    string   `json:"softwareVersion,omitempty"`
 	Incarnation uint64   `json:"incarnation"`
 	Sequence    uint64   `json:"sequence"`
 	Services    []string `json:"services"`
@@ -167,6 +175,7 @@
 		name:        w.Name,
 		address:     w.Address,
 		dataCentre:  w.DataCentre,
+		software:    w.Software,
 		incarnation: w.Incarnation,
 		sequence:    w.Sequence,
 		services:    w.Services,
@@ -186,6 +195,8 @@
 
 func (a Announcement) check() error {
 	switch {
+	case len(a.software) > maxNameBytes:
+		return errors.New("announcement: software version is too long")
 	case a.name == "" || len(a.name) > maxNameBytes:
 		return errors.New("announcement: name is missing or too long")
 	case a.address == "":
@@ -214,7 +225,7 @@
 // sequence number from the version of the entry.
 func (a Announcement) EntryUntil(expiresAt time.Time) (disseminator.Entry, error) {
 	value, err := json.Marshal(jsonAnnouncement{
-		Name: a.name, Address: a.address, DataCentre: a.dataCentre,
+		Name: a.name, Address: a.address, DataCentre: a.dataCentre, Software: a.software,
 		Incarnation: a.incarnation, Sequence: 1, Services: a.services,
 		Capacity: a.capacity, State: a.state.String(),
 	})
