gateway, controller, originstorer: streams go on only at the software version that began them

What callers saw (ORDER): streams held events of two software versions, joined in one answer or over the caller's tries. Cause: a router that resumed a stream, and one at which a caller took a stream up, placed it like a new one. Nothing outside the router that began a stream knew its version, and that router might have ended. Ruled out: an outdated version of a target (nobody read versions). Change: in one answer a stream stays with the version of its first event. A router at which a stream is taken up asks for the record. Without one the stream goes on only if one version is known to those that answer. Otherwise the caller gets 503 at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,7 @@
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/originsharer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/timekeeper"
@@ -67,6 +68,8 @@
 	verdicts       *verdictsharer.Sharer
 	limits         *limitsharer.Sharer // of targets of routers, not of gateways
 	controlVMs     limitsharer.ControlVMs
+	origins        *originsharer.Sharer
+	originKeeper   *originKeeper
 
 	routes        func(chi.Router, *Controller)
 	startedAt     uint64 // Unix time in nanoseconds
@@ -212,6 +215,7 @@
 	running.Go(func() { c.runQuarantine(serving) })
 	running.Go(func() { c.limits.Run(serving) })
 	running.Go(func() { c.runQuarantineFile(serving) })
+	running.Go(func() { c.originKeeper.run(serving) })
 	members := repeater.New(repeater.Config{Interval: membershipInterval, Step: c.maintainMembership})
 	running.Go(func() { members.Run(serving) })
 	select {
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -87,6 +87,7 @@
 			return nil
 		}
 	}
+	c.origins.Publish(a, c.disseminator.Get, now)
 	entry, err := a.EntryUntil(now.Add(targetLease))
 	if err != nil {
 		return err
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -46,6 +46,8 @@
 		return nil, c.verdicts.ReceiveCrashes(body, time.Now())
 	case messenger.PermitCall:
 		return c.limits.HandleCall(body, time.Now())
+	case messenger.StreamOrigins, messenger.OriginCall:
+		return c.handleOrigins(kind, body)
 	case messenger.Batch:
 		return c.handleBatch(ctx, body)
 	case messenger.ConfigurationRequest:
--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -35,7 +35,9 @@
 		now := time.Now()
 		c.verdicts.Apply(entries, now)
 		c.limits.Apply(entries, now)
+		c.origins.Apply(entries, now)
 	}})
+	c.openOrigins()
 	c.limits = limitsharer.New(limitsharer.Config{
 		VM: c.settings.VM(), Candidates: c.controlVMs.List, Publish: c.disseminator.Put, Metrics: c.metrics, Log: c.log,
 		Peer: func(string) (limitsharer.Peer, bool) { return nil, false }, // control sends no requests to targets
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
+	"radishshed.example/radishshed/internal/originsharer"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
@@ -112,6 +113,7 @@
 	limits                          *limitsharer.Sharer
 	departures                      *departuresharer.Sharer
 	sizeRanker                      *limiter.SizeRanker
+	origins                         *originsharer.Sharer
 }
 
 // New returns a gateway that is not running yet.
@@ -146,6 +148,7 @@
 	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
 	g.limits = g.newLimitSharer()
 	g.departures = departuresharer.New(departuresharer.Config{Record: g.placer.RecordDeparture, Publish: g.publish, Log: c.Log})
+	g.origins = g.newOriginSharer()
 	retries := c.Settings.RetryBudget()
 	window := retries.Window()
 	if window == 0 {
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -54,6 +54,7 @@
 	if p.Identity().Role() == linker.Control {
 		g.disseminator.AddLink(updatesLink{p})
 		g.sendCrashes(g.quarantiner.Crashes(maxRepeatedCrashes), []*linker.Peer{p})
+		g.origins.Connected(time.Now())
 	}
 }
 
@@ -175,12 +176,13 @@
 func (g *Gateway) inLeaseGrace(now time.Time) bool { return now.UnixNano() < g.leaseGraceEndsAt.Load() }
 
 // handleEntries passes the target announcements among the received entries to the placer,
-// and the verdicts, limits and departures to those who share them.
+// and the verdicts, limits, departures and software versions to those who share them.
 func (g *Gateway) handleEntries(entries []disseminator.Entry) {
 	now := time.Now()
 	g.verdicts.Apply(entries, now)
 	g.limits.Apply(entries, now)
 	g.departures.Apply(entries, now)
+	g.origins.Apply(entries, now)
 	for _, e := range entries {
 		if !selector.IsTarget(e) {
 			continue
@@ -230,6 +232,11 @@
 		return nil, g.verdicts.ReceiveCrashes(body, time.Now())
 	case messenger.PermitCall:
 		return g.limits.HandleCall(body, time.Now())
+	case messenger.StreamOrigins:
+		_, err := g.origins.Receive(body, time.Now())
+		return nil, err
+	case messenger.OriginCall:
+		return g.origins.HandleCall(body, time.Now())
 	case messenger.ConfigurationNotice:
 		return nil, nil // a gateway does not use tickets
 	default:
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -53,23 +53,39 @@
 
 // choosePlacement chooses a target that is not among those to avoid.
 func (q *request) choosePlacement(avoid []string) (*placer.Placement, error) {
-	now := time.Now()
 	engine, _ := q.service.Engine()
-	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
-	return q.gateway.placer.Choose(placer.Request{
-		TokensPerEvent: engine.TokensPerEvent,
-		MaxEventGap:    q.route.MaxEventGap(),
+	r := q.placementRequest(time.Now(), slices.Concat(q.excluded, avoid))
+	r.TokensPerEvent = engine.TokensPerEvent
+	r.MaxEventGap = q.route.MaxEventGap()
+	r.Segments = q.metadata.config.Segments
+	r.FirstEventObjective = q.route.FirstEventObjective()
+	r.MaxFirstEvent = q.maxFirstEvent()
+	return q.gateway.placer.Choose(r)
+}
 
-		Service:             q.service.Name(),
-		Segments:            q.metadata.config.Segments,
-		FirstEventObjective: q.route.FirstEventObjective(),
-		Exclude:             slices.Concat(q.excluded, avoid),
-		// While the own link is full, first events are late for that reason and say
-		// nothing about the targets.
-		RejectIfLate: isStream && q.attempts == 0 && !q.gateway.diverting.Load(),
-		IgnoreLeases: q.gateway.inLeaseGrace(now),
-		Now:          now,
-	})
+// placementRequest returns what decides which targets can be chosen.
+func (q *request) placementRequest(now time.Time, exclude []string) placer.Request {
+	return placer.Request{
+		Service: q.service.Name(), SoftwareVersion: q.onlyVersion, Exclude: exclude,
+		IgnoreLeases: q.gateway.inLeaseGrace(now), Now: now,
+	}
+}
+
+// maxFirstEvent returns the time to the first event beyond which the request is refused, or
+// zero if it is not refused for that. The caller of a stream that it takes up waits as long
+// as between two events.
+func (q *request) maxFirstEvent() time.Duration {
+	_, isStream := q.route.ExecutionPolicy().(cataloguer.Stream)
+	switch {
+	case !isStream || q.attempts > 0:
+		return 0
+	case q.gateway.diverting.Load():
+		return 0 // while the own link is full, late first events say nothing about targets
+	case q.takesUpStream():
+		return stallTimeout(q.route)
+	default:
+		return q.route.FirstEventObjective()
+	}
 }
 
 // rank returns the rank by which the request gets a permit. Large requests are kept away from
@@ -85,7 +101,7 @@
 	if len(limited) == 0 {
 		return 0 // nothing needs a permit
 	}
-	if !g.placer.HasUsable(q.service.Name(), limited, now, g.inLeaseGrace(now)) {
+	if g.placer.CountUsable(q.placementRequest(now, limited)) == 0 {
 		return g.sizeRanker.Random()
 	}
 	return g.sizeRanker.Rank(q.service.Name(), size)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -64,6 +64,9 @@
 	expectedFirstEvent time.Duration
 	target             string
 	softwareVersion    string // of the target
+	// onlyVersion, if not nil, is the software version that began the stream. It may go on
+	// at no other.
+	onlyVersion *string
 }
 
 // serve handles a request of a caller.
@@ -82,6 +85,10 @@
 	q.limitWriting()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	if refusal := q.takeUp(ctx); refusal != nil {
+		q.refuse(refusal)
+		return
+	}
 	if refusal := q.reserve(ctx); refusal != nil {
 		q.refuse(refusal)
 		return
@@ -256,7 +263,7 @@
 		return false
 	}
 	now := time.Now()
-	if q.gateway.placer.CountUsable(q.service.Name(), now, q.gateway.inLeaseGrace(now)) <= len(q.excluded) {
+	if q.gateway.placer.CountUsable(q.placementRequest(now, q.excluded)) == 0 {
 		return false
 	}
 	return q.gateway.retrier.Allow(q.service.Name(), now)
@@ -327,6 +334,7 @@
 	}
 	attemptCtx, endAttempt := context.WithCancel(ctx)
 	defer endAttempt()
+	q.recordOrigin()
 	stall := &stallDetector{timeout: stallTimeout(q.route), mayResume: q.mayResumeElsewhere, end: endAttempt}
 	defer stall.stop()
 	response, err := g.exchanger.Send(attemptCtx, targetRequest)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -70,6 +70,7 @@
 	if q.responseStarted {
 		return
 	}
+	q.onlyVersion = &q.softwareVersion
 	q.copyHeader(response)
 	q.writer.WriteHeader(response.Status())
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -89,6 +89,12 @@
 	// PermitCall is a call that asks a router for the permission to send one request to a
 	// target that has a limit. It returns the answer (package limiter).
 	PermitCall
+	// StreamOrigins is a notice that carries the versions that began streams (package
+	// originstorer).
+	StreamOrigins
+	// OriginCall is a call that asks which version began a stream. It returns the answer
+	// (package originstorer).
+	OriginCall
 )
 
 // Response is a control VM's response to a call: either a result or a redirect to
--- a/internal/placer/overload.go
+++ b/internal/placer/overload.go
@@ -28,7 +28,7 @@
 // RetryAfter returns the time after which a target is expected to have room.
 func (e *OverloadError) RetryAfter() time.Duration { return e.expected - e.limit }
 
-// admissionShare is how long, as a share of FirstEventObjective, the expected time to the
+// admissionShare is how long, as a share of MaxFirstEvent, the expected time to the
 // first event of an admitted request may be. Estimates err in both directions, and a
 // response that is a little late is worth more to the caller than none.
 const admissionShare = 1.1
@@ -36,10 +36,10 @@
 // checkOverload returns an error if the request must be refused because its first event is
 // expected too late on the best target.
 func (r Request) checkOverload(expected time.Duration) error {
-	if !r.RejectIfLate || r.FirstEventObjective <= 0 {
+	if r.MaxFirstEvent <= 0 {
 		return nil
 	}
-	limit := time.Duration(admissionShare * float64(r.FirstEventObjective))
+	limit := time.Duration(admissionShare * float64(r.MaxFirstEvent))
 	if expected <= limit {
 		return nil
 	}
--- a/internal/placer/overload_test.go
+++ b/internal/placer/overload_test.go
@@ -38,6 +38,10 @@
 	engineFreeAt := start
 	overloadAt := start.Add(warmUp)
 	interval := 2 * o.prefill
+	maxFirstEvent := time.Duration(0)
+	if o.reject {
+		maxFirstEvent = overloadObjective
+	}
 	for now := start; now.Sub(overloadAt) < overloadDuration; now = now.Add(interval) {
 		if !now.Before(overloadAt) {
 			interval = o.interval
@@ -48,7 +52,7 @@
 			open, firstEventAt = open[1:], firstEventAt[1:]
 		}
 		placement, err := p.Choose(placer.Request{
-			Service: engineService, FirstEventObjective: overloadObjective, RejectIfLate: o.reject, Now: now,
+			Service: engineService, FirstEventObjective: overloadObjective, MaxFirstEvent: maxFirstEvent, Now: now,
 			Segments: []placer.Segment{placer.NewSegment(1, 3000), placer.NewSegment(uint64(now.UnixNano()), 3000)},
 		})
 		var overload *placer.OverloadError
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -77,9 +77,12 @@
 	// the latency objective.
 	TokensPerEvent int64
 	MaxEventGap    time.Duration
-	// RejectIfLate makes Choose return an OverloadError if even the best target would
-	// send the first event too late.
-	RejectIfLate bool
+	// MaxFirstEvent, if positive, makes Choose return an OverloadError if even the best target
+	// would send the first event later than admissionShare of it.
+	MaxFirstEvent time.Duration
+	// SoftwareVersion, if not nil, is the only version of a target's software that may be
+	// chosen.
+	SoftwareVersion *string
 	// Exclude names targets that must not be chosen.
 	Exclude []string
 	// IgnoreLeases makes targets usable even if their leases have expired. It
@@ -203,18 +206,11 @@
 	p.rebuildIndex()
 }
 
-// CountUsable returns how many targets of the service can be chosen.
-func (p *Placer) CountUsable(service string, now time.Time, ignoreLeases bool) int {
+// CountUsable returns how many targets can be chosen for a request.
+func (p *Placer) CountUsable(r Request) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.usable(Request{Service: service, Now: now, IgnoreLeases: ignoreLeases}))
-}
-
-// HasUsable reports whether a target of the service that is not excluded can be chosen.
-func (p *Placer) HasUsable(service string, exclude []string, now time.Time, ignoreLeases bool) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return len(p.usable(Request{Service: service, Exclude: exclude, Now: now, IgnoreLeases: ignoreLeases})) > 0
+	return len(p.usable(r))
 }
 
 // Choose chooses a target for a request.
@@ -306,7 +302,7 @@
 func (p *Placer) reasonForNone(r Request) error {
 	var first time.Time
 	for _, t := range p.byService[r.Service] {
-		if !t.present(r.Now, r.IgnoreLeases) || !r.Now.Before(t.pausedUntil) || slices.Contains(r.Exclude, t.announcement.Name()) {
+		if !t.present(r.Now, r.IgnoreLeases) || !r.Now.Before(t.pausedUntil) || !r.admits(t) {
 			continue
 		}
 		if first.IsZero() || t.pausedUntil.Before(first) {
@@ -319,13 +315,21 @@
 	return &PausedError{first}
 }
 
+// admits reports whether the request may be sent to the target, whatever its state.
+func (r Request) admits(t *target) bool {
+	if r.SoftwareVersion != nil && *r.SoftwareVersion != t.announcement.SoftwareVersion() {
+		return false
+	}
+	return !slices.Contains(r.Exclude, t.announcement.Name())
+}
+
 // usable returns the targets that may be chosen. Targets in backoff after a
 // failed connection are returned only if there are no others.
 func (p *Placer) usable(r Request) []*target {
 	var usable, inBackoff []*target
 	for _, t := range p.byService[r.Service] {
 		switch {
-		case !t.usable(r.Now, r.IgnoreLeases) || slices.Contains(r.Exclude, t.announcement.Name()):
+		case !t.usable(r.Now, r.IgnoreLeases) || !r.admits(t):
 		case r.Now.Before(t.backoffUntil):
 			inBackoff = append(inBackoff, t)
 		default:
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -164,17 +164,17 @@
 		if got := announce(t, p, c.target, plainService, c.address, c.incarnation, c.sequence, c.state); got != c.change {
 			t.Fatalf("%s: change %d, want %d", c.name, got, c.change)
 		}
-		if got := p.CountUsable(plainService, start, false); got != c.want {
+		if got := p.CountUsable(placer.Request{Service: plainService, Now: start}); got != c.want {
 			t.Fatalf("%s: %d targets, want %d", c.name, got, c.want)
 		}
 	}
 	if got := choose(t, p, placer.Request{Service: plainService, Now: start}).Target().Name(); got != "target-1" {
 		t.Fatalf("chose %s, want target-1, which has taken the address", got)
 	}
-	if got := p.CountUsable(plainService, start.Add(time.Hour), false); got != 0 {
+	if got := p.CountUsable(placer.Request{Service: plainService, Now: start.Add(time.Hour)}); got != 0 {
 		t.Fatalf("%d usable targets after all leases have expired, want 0", got)
 	}
-	if got := p.CountUsable(plainService, start.Add(time.Hour), true); got != 1 {
+	if got := p.CountUsable(placer.Request{Service: plainService, Now: start.Add(time.Hour), IgnoreLeases: true}); got != 1 {
 		t.Fatalf("%d usable targets while leases are ignored, want 1", got)
 	}
 }
@@ -232,7 +232,7 @@
 	if !p.RecordDeparture(adviser.NewDeparture(name, 1), start) || p.RecordDeparture(adviser.NewDeparture(name, 1), start) {
 		t.Error("only the first statement is new")
 	}
-	usable := func() int { return p.CountUsable(plainService, start, false) }
+	usable := func() int { return p.CountUsable(placer.Request{Service: plainService, Now: start}) }
 	announce(t, p, name, plainService, address, 1, 2, selector.Serving{})
 	p.RemoveExpired(start.Add(time.Hour))
 	announce(t, p, name, plainService, address, 1, 3, selector.Serving{})
--- a/pkg/state/cataloguer/cataloguer.go
+++ b/pkg/state/cataloguer/cataloguer.go
@@ -137,6 +137,17 @@
 // cache.
 func (r Route) PrefixAffinity() bool { return r.config.PrefixAffinity }
 
+// Services returns the names of the services that can get requests of the route.
+func (r Route) Services() []string {
+	var names []string
+	for _, s := range r.config.Services {
+		if s.weight > 0 {
+			names = append(names, s.service)
+		}
+	}
+	return names
+}
+
 // PickService chooses the service for a request at random, in proportion to the
 // weights. int64N returns a number that is uniformly distributed over [0, n).
 func (r Route) PickService(int64N func(n int64) int64) string {
