--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -86,7 +86,7 @@
 // Exchanger sends requests to targets and pools idle connections. It is safe for
 // concurrent use.
 type Exchanger struct {
-	dialer           net.Dialer
+	dial             Dialer
 	connectionOpened func()
 	byteCounter      *bytecounter.ByteCounter
 
@@ -94,8 +94,19 @@
 	idle  map[string][]*connection
 }
 
+// Dialer opens a connection to the target at an address, as host and port.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial opens a TCP connection to the target at an address.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Config configures an exchanger.
 type Config struct {
+	// Dial opens connections to targets. Default: Dial.
+	Dial Dialer
 	// ConnectionOpened, if set, is called for each new connection.
 	ConnectionOpened func()
 	// ByteCounter, if set, counts the bytes of the connections.
@@ -110,8 +121,11 @@
 	if c.ByteCounter == nil {
 		c.ByteCounter = &bytecounter.ByteCounter{}
 	}
+	if c.Dial == nil {
+		c.Dial = Dial
+	}
 	return &Exchanger{
-		dialer:           net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval},
+		dial:             c.Dial,
 		connectionOpened: c.ConnectionOpened,
 		byteCounter:      c.ByteCounter,
 		idle:             map[string][]*connection{},
@@ -263,7 +277,7 @@
 			return c, nil
 		}
 	}
-	socket, err := e.dialer.DialContext(ctx, "tcp", r.Address)
+	socket, err := e.dial(ctx, r.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -308,7 +322,7 @@
 func (e *Exchanger) Refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
-	socket, err := e.dialer.DialContext(ctx, "tcp", address)
+	socket, err := e.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	Settings configurer.Settings
 	// Protocol translates the messages of callers and targets. Required.
 	Protocol Protocol
+	// DialTarget opens connections to targets. Default: exchanger.Dial.
+	DialTarget exchanger.Dialer
 	// Log receives the log lines. Required.
 	Log *zap.Logger
 }
@@ -142,7 +144,7 @@
 	g.meters = newMeters(g.metrics)
 	g.catalogueRecord.Store(&cataloguer.Record{})
 	g.Reload(c.Settings)
-	g.exchanger = exchanger.New(exchanger.Config{ConnectionOpened: func() { g.meters.connections.Inc(1) }, ByteCounter: &g.byteCounter})
+	g.exchanger = exchanger.New(exchanger.Config{Dial: c.DialTarget, ConnectionOpened: func() { g.meters.connections.Inc(1) }, ByteCounter: &g.byteCounter})
 	g.disseminator = disseminator.New(disseminator.Config{OnChange: g.handleEntries})
 	g.quarantiner = quarantiner.New(quarantiner.Config{VM: c.Settings.VM()})
 	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
