gateway, relayer, linker: a router that lost the path to all targets uses those of others

Cause: a router used its own connections to targets only. Ruled out: targets held unusable too long after the cut; readiness. Change: suspicions (a failed, slow or silent connection) lead to probes of four targets; if all fail the path is lost. Connections are then opened through another router, as tunnels of bytes, so that budget, permits, deadline, retries and response stay at one router; a relay opens direct connections only. Relays are chosen by load, near ones first; requests that hang may be sent again. Probes tell when the path is back.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -79,6 +79,7 @@
 	net.Conn
 	limiter   *headLimiter
 	reader    *bufio.Reader
+	mayReuse  func() bool
 	address   string
 	idleSince time.Time
 }
@@ -88,6 +89,7 @@
 type Exchanger struct {
 	dial             Dialer
 	connectionOpened func()
+	waiting          func(n int64)
 	byteCounter      *bytecounter.ByteCounter
 
 	mutex sync.Mutex
@@ -111,6 +113,15 @@
 	ConnectionOpened func()
 	// ByteCounter, if set, counts the bytes of the connections.
 	ByteCounter *bytecounter.ByteCounter
+	// Waiting, if set, is called with 1 when a request waits for its response, and with -1
+	// when the whole response has arrived or will not arrive.
+	Waiting func(n int64)
+}
+
+// reusable is implemented by connections that do not always return to the pool.
+type reusable interface {
+	// Reusable reports whether another request may use the connection.
+	Reusable() bool
 }
 
 // New returns an exchanger with an empty connection pool.
@@ -124,9 +135,13 @@
 	if c.Dial == nil {
 		c.Dial = Dial
 	}
+	if c.Waiting == nil {
+		c.Waiting = func(int64) {}
+	}
 	return &Exchanger{
 		dial:             c.Dial,
 		connectionOpened: c.ConnectionOpened,
+		waiting:          c.Waiting,
 		byteCounter:      c.ByteCounter,
 		idle:             map[string][]*connection{},
 	}
@@ -163,6 +178,7 @@
 // Close releases the response. The connection returns to the pool if it can be reused,
 // and is closed otherwise.
 func (r *Response) Close() {
+	r.exchanger.waiting(-1)
 	notCancelled := r.stopCancellation() // otherwise the connection is being closed
 	if notCancelled && r.bodyComplete && !r.response.Close && r.connection.reader.Buffered() == 0 && r.isWritten() {
 		r.exchanger.release(r.connection)
@@ -187,11 +203,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%s: %v", r.Address, err)
 	}
+	e.waiting(1)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks pending reads and writes
 	w := &writer{connection: c, data: r.encode(), done: make(chan error, 1)}
 	go w.run()
 	response, err := c.receive(r) //nolint:bodyclose // Response.Close closes the connection
 	if err != nil {
+		e.waiting(-1)
 		stop()
 		_ = c.Close() // nothing to do about a failing close
 		if cause := ctx.Err(); cause != nil {
@@ -282,9 +300,13 @@
 		return nil, err
 	}
 	e.connectionOpened()
+	mayReuse := func() bool { return true }
+	if r, ok := socket.(reusable); ok {
+		mayReuse = r.Reusable
+	}
 	socket = e.byteCounter.WrapConnection(socket)
 	limiter := &headLimiter{source: socket}
-	return &connection{Conn: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: r.Address}, nil
+	return &connection{Conn: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), mayReuse: mayReuse, address: r.Address}, nil
 }
 
 // takeIdle removes an idle connection from the pool and returns it, or nil.
@@ -309,7 +331,7 @@
 	c.idleSince = time.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if len(e.idle[c.address]) >= maxIdleConnections {
+	if len(e.idle[c.address]) >= maxIdleConnections || !c.mayReuse() {
 		_ = c.Close() // nothing to do about a failing close
 		return
 	}
@@ -331,14 +353,21 @@
 	return false
 }
 
+// CloseAllIdle closes all connections that are idle.
+func (e *Exchanger) CloseAllIdle() { e.closeIdle(func(*connection) bool { return true }) }
+
 // CloseIdle closes the connections that have been idle for at least maxIdleTime.
 func (e *Exchanger) CloseIdle(now time.Time) {
+	e.closeIdle(func(c *connection) bool { return now.Sub(c.idleSince) >= maxIdleTime })
+}
+
+func (e *Exchanger) closeIdle(mustClose func(*connection) bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for address, idle := range e.idle {
 		var kept []*connection
 		for _, c := range idle {
-			if now.Sub(c.idleSince) < maxIdleTime {
+			if !mustClose(c) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -35,6 +36,8 @@
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/internal/retrier"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/internal/timekeeper"
@@ -116,6 +119,9 @@
 	departures                      *departuresharer.Sharer
 	sizeRanker                      *limiter.SizeRanker
 	origins                         *originsharer.Sharer
+	relays                          *relayer.Relayer
+	relayCandidates                 atomic.Pointer[[]relayselector.Candidate]
+	linkUtilisation                 atomic.Uint64 // share of the link in use, as the bits of a float64
 }
 
 // New returns a gateway that is not running yet.
@@ -144,7 +150,11 @@
 	g.meters = newMeters(g.metrics)
 	g.catalogueRecord.Store(&cataloguer.Record{})
 	g.Reload(c.Settings)
-	g.exchanger = exchanger.New(exchanger.Config{Dial: c.DialTarget, ConnectionOpened: func() { g.meters.connections.Inc(1) }, ByteCounter: &g.byteCounter})
+	g.relayCandidates.Store(&[]relayselector.Candidate{})
+	g.relays = g.newRelayer(c.DialTarget)
+	g.exchanger = exchanger.New(exchanger.Config{
+		Dial: g.relays.Dial, Waiting: g.relays.AddWaiting, ConnectionOpened: func() { g.meters.connections.Inc(1) }, ByteCounter: &g.byteCounter,
+	})
 	g.disseminator = disseminator.New(disseminator.Config{OnChange: g.handleEntries})
 	g.quarantiner = quarantiner.New(quarantiner.Config{VM: c.Settings.VM()})
 	g.verdicts = verdictsharer.New(verdictsharer.Config{Quarantiner: g.quarantiner, Publish: g.disseminator.Put, Log: c.Log})
@@ -206,6 +216,7 @@
 	running.Go(func() { g.runCleanup(serving) })
 	running.Go(func() { g.runQuarantine(serving) })
 	running.Go(func() { g.limits.Run(serving) })
+	running.Go(func() { g.relays.Run(serving) })
 	load := repeater.New(repeater.Config{Interval: linkLoadInterval, Step: g.observeLoad})
 	running.Go(func() { load.Run(serving) })
 	g.log.Info("gateway started", zap.Stringer("process", g.process))
@@ -237,6 +248,7 @@
 	if err := public.Shutdown(ctx); err != nil {
 		g.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
 	}
+	g.awaitRelayedConnections(ctx)
 	// Borrowers can no longer settle loans once this process has terminated. The zero
 	// process and a time after every expiry charge all loans.
 	g.chargeUnsettledLoans(identifier.Process{}, time.Now().Add(loanLifetime))
@@ -251,6 +263,7 @@
 func (g *Gateway) listen(failed func(error)) (private []*listener.Listener, public *listener.Listener, err error) {
 	links := chi.NewRouter()
 	links.Handle(linker.Path, g.endpoint)
+	links.Handle(linker.TunnelPath, linker.NewTunnels(g.endpoint, g.relays.Accept))
 	operators := chi.NewRouter()
 	operator.Mount(operators, operator.Config{
 		IsOperatorKey: g.settings.OperatorCredentials().AdmitsOperator,
@@ -294,6 +307,7 @@
 	decision := g.offloader.Observe(offloader.Sample{
 		At: now, Received: g.byteCounter.Received(), Sent: g.byteCounter.Sent(), Disconnected: g.spender.Disconnected(now),
 	})
+	g.linkUtilisation.Store(math.Float64bits(g.offloader.LinkUtilisation()))
 	_, diverting := decision.(offloader.Divert)
 	if diverting != g.diverting.Swap(diverting) {
 		g.log.Info("readiness for new connections changed",
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -78,6 +78,9 @@
 			g.announceSelf()
 			announcedAt = time.Now()
 		}
+		if g.relays.Lost() {
+			g.announceLostPath()
+		}
 		g.endpoint.SetDialAddresses(g.linkAddresses())
 		if len(g.controlPeers()) == 0 {
 			g.leaseGraceEndsAt.Store(time.Now().Add(leaseGrace).UnixNano())
@@ -85,12 +88,15 @@
 	}}).Run(ctx)
 }
 
+// announceSelf announces the address of this router and, as the load of the entry, its data
+// centre.
 func (g *Gateway) announceSelf() {
 	now := time.Now()
 	err := g.disseminator.Put(disseminator.NewEntry(disseminator.EntryConfig{
 		Key:       messenger.GatewayAddressPrefix + g.process.VM(),
 		Version:   disseminator.NewVersion(g.process.Incarnation(), uint64(now.UnixNano())),
 		Value:     []byte(g.settings.AdvertisedAddress()),
+		Load:      []byte(g.settings.DataCentre()),
 		ExpiresAt: now.Add(presenceLease),
 	}))
 	if err != nil {
@@ -99,7 +105,8 @@
 }
 
 // linkAddresses returns the addresses of all known control VMs and of the lenders. It
-// also stores the number of routers and, through lenderAddresses, the lenders.
+// also stores the number of routers, those that may relay and, through lenderAddresses, the
+// lenders.
 func (g *Gateway) linkAddresses() []string {
 	addresses := slices.Clone(*g.addresses.Load())
 	var routers []disseminator.Entry
@@ -115,6 +122,7 @@
 		routers = g.lastRouters // announcements cannot arrive, so those that expire say nothing
 	}
 	g.lastRouters = routers
+	g.updateRelayCandidates(routers)
 	g.routerCount.Store(max(1, int64(len(routers))))
 	addresses = append(addresses, g.lenderAddresses(routers)...)
 	slices.Sort(addresses)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/relayer"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
 
@@ -67,6 +68,9 @@
 	// onlyVersion, if not nil, is the software version that began the stream. It may go on
 	// at no other.
 	onlyVersion *string
+	// watch ends the attempt if it hangs since the path to targets was lost. It is nil if the
+	// request may not be sent again.
+	watch *relayer.Attempt
 }
 
 // serve handles a request of a caller.
@@ -335,6 +339,10 @@
 	attemptCtx, endAttempt := context.WithCancel(ctx)
 	defer endAttempt()
 	q.recordOrigin()
+	if q.repeatable() {
+		q.watch = g.relays.Watch(endAttempt)
+		defer q.watch.Stop()
+	}
 	stall := &stallDetector{timeout: stallTimeout(q.route), mayResume: q.mayResumeElsewhere, end: endAttempt}
 	defer stall.stop()
 	response, err := g.exchanger.Send(attemptCtx, targetRequest)
@@ -353,6 +361,7 @@
 		return q.interruptedResult(ctx, err)
 	}
 	defer response.Close()
+	q.recordPath()
 	if metadata.config.Load != nil {
 		p.RecordLoad(*metadata.config.Load, time.Now())
 	}
@@ -370,6 +379,13 @@
 	return q.relayWhole(ctx, p, response, metadata)
 }
 
+// recordPath records that part of the response has arrived.
+func (q *request) recordPath() {
+	if q.watch != nil {
+		q.watch.RecordProgress()
+	}
+}
+
 // resumeEventID returns the identifier of the last event that the caller has received,
 // after which the stream is to resume, or "".
 func (q *request) resumeEventID() string {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,7 @@
 func (q *request) recordProgress(event eventreader.Event, p *placer.Placement, stall *stallDetector) {
 	q.recordAnswered(p)
 	stall.recordProgress()
+	q.recordPath()
 	if id := event.ID(); id != "" {
 		q.lastEventID = id
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -206,6 +206,19 @@
 	p.rebuildIndex()
 }
 
+// Addresses returns the addresses of the targets that are there, though they may want nothing.
+func (p *Placer) Addresses(now time.Time, ignoreLeases bool) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var addresses []string
+	for _, t := range p.targets {
+		if t.present(now, ignoreLeases) {
+			addresses = append(addresses, t.announcement.Address())
+		}
+	}
+	return addresses
+}
+
 // CountUsable returns how many targets can be chosen for a request.
 func (p *Placer) CountUsable(r Request) int {
 	p.mutex.Lock()
--- /dev/null
+++ b/pkg/transport/linker/tunnel.go
@@ -0,0 +1,191 @@
+package linker
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// TunnelPath is the HTTP path at which a process accepts tunnels.
+const TunnelPath = "/tunnel"
+
+const (
+	// tunnelBufferBytes is the largest message in a tunnel.
+	tunnelBufferBytes = 16 << 10
+	maxTunnelRequest  = 4 << 10
+)
+
+// TunnelHandler handles the request for a tunnel. It returns its reply and the connection to
+// which the tunnel leads, or nil if it refuses.
+type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination net.Conn)
+
+// Tunnels accepts tunnels from other processes. A tunnel is a WebSocket connection that
+// carries the bytes of one connection which this process opens for its peer. Both ends prove
+// that they know the fleet key, as for links.
+type Tunnels struct {
+	endpoint *Endpoint
+	handle   TunnelHandler
+}
+
+// NewTunnels returns a handler of tunnels for the processes that know the endpoint's fleet key.
+func NewTunnels(e *Endpoint, handle TunnelHandler) *Tunnels { return &Tunnels{e, handle} }
+
+// ServeHTTP accepts a tunnel and carries its bytes until it ends.
+func (t *Tunnels) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	nonce := r.Header.Get(nonceHeader)
+	proof, err := hex.DecodeString(r.Header.Get(proofHeader))
+	if err != nil || nonce == "" || !t.endpoint.verifyProof(proof, "tunnel", nonce) {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	w.Header().Set(proofHeader, hex.EncodeToString(t.endpoint.proof("acceptTunnel", nonce)))
+	socket, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has sent an error response
+	}
+	defer func() { _ = socket.CloseNow() }() // has no effect if the tunnel has been closed
+	destination, err := t.open(socket)
+	if err != nil {
+		t.endpoint.config.Log.Debug("tunnel not opened", zap.Error(err))
+		return
+	}
+	if destination == nil {
+		return
+	}
+	c := &carrier{socket: socket, destination: destination}
+	c.carry(t.endpoint.ctx)
+}
+
+// open reads the request for a tunnel, opens the connection to its destination, and replies.
+func (t *Tunnels) open(socket *websocket.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(t.endpoint.ctx, handshakeTimeout)
+	defer cancel()
+	socket.SetReadLimit(maxTunnelRequest)
+	_, request, err := socket.Read(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "receive the request for a tunnel")
+	}
+	reply, destination := t.handle(ctx, request)
+	if err := socket.Write(ctx, websocket.MessageBinary, reply); err != nil {
+		if destination != nil {
+			_ = destination.Close() // nothing was sent
+		}
+		return nil, errors.Wrap(err, "reply to the request for a tunnel")
+	}
+	return destination, nil
+}
+
+// carrier carries the bytes of a tunnel.
+type carrier struct {
+	socket      *websocket.Conn
+	destination net.Conn
+}
+
+// carry returns when the tunnel has ended. If one end breaks, so does the other.
+func (c *carrier) carry(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.socket.SetReadLimit(-1)
+	var running sync.WaitGroup
+	running.Go(func() {
+		c.runRequests(ctx)
+		_ = c.destination.Close() // the peer has ended the tunnel
+	})
+	c.runResponses(ctx)
+	cancel()
+	running.Wait()
+}
+
+// runRequests carries bytes from the peer to the destination.
+func (c *carrier) runRequests(ctx context.Context) {
+	for {
+		_, data, err := c.socket.Read(ctx)
+		if err != nil {
+			return
+		}
+		if _, err := c.destination.Write(data); err != nil {
+			return
+		}
+	}
+}
+
+// runResponses carries bytes from the destination to the peer. Only an orderly end of the
+// connection becomes an orderly end of the tunnel: a response may end with its connection.
+func (c *carrier) runResponses(ctx context.Context) {
+	buffer := make([]byte, tunnelBufferBytes)
+	for {
+		n, err := c.destination.Read(buffer)
+		if n > 0 {
+			if writeErr := c.socket.Write(ctx, websocket.MessageBinary, buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = c.socket.Close(websocket.StatusNormalClosure, "") // fails only if the peer has left
+			return
+		case err != nil:
+			_ = c.socket.CloseNow() // the peer sees that the end is not orderly
+			return
+		}
+	}
+}
+
+// OpenTunnel asks the process at the address for a tunnel and returns its reply. The
+// connection is of use only if the reply says so, and must be closed in any case. The
+// context bounds the time until the reply has arrived.
+func (e *Endpoint) OpenTunnel(ctx context.Context, address string, request []byte) (net.Conn, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	scheme := "ws"
+	if e.config.TLS != nil {
+		scheme = "wss"
+	}
+	nonce := newNonce()
+	header := http.Header{}
+	header.Set(nonceHeader, nonce)
+	header.Set(vmHeader, e.config.Identity.process.VM())
+	header.Set(proofHeader, hex.EncodeToString(e.proof("tunnel", nonce)))
+	// The library closes the body of the response.
+	socket, response, err := websocket.Dial(ctx, scheme+"://"+address+TunnelPath, &websocket.DialOptions{ //nolint:bodyclose // see above
+		HTTPClient: e.client,
+		HTTPHeader: header,
+	})
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
+	}
+	reply, err := e.requestTunnel(ctx, socket, response.Header.Get(proofHeader), nonce, request)
+	if err != nil {
+		_ = socket.CloseNow() // the tunnel is of no use
+		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
+	}
+	return &tunnel{Conn: websocket.NetConn(e.ctx, socket, websocket.MessageBinary), socket: socket}, reply, nil
+}
+
+func (e *Endpoint) requestTunnel(ctx context.Context, socket *websocket.Conn, encodedProof, nonce string, request []byte) ([]byte, error) {
+	proof, err := hex.DecodeString(encodedProof)
+	if err != nil || !e.verifyProof(proof, "acceptTunnel", nonce) {
+		return nil, errors.New("the peer does not know the fleet key")
+	}
+	if err := socket.Write(ctx, websocket.MessageBinary, request); err != nil {
+		return nil, errors.Wrap(err, "send the request")
+	}
+	_, reply, err := socket.Read(ctx)
+	return reply, errors.Wrap(err, "receive the reply")
+}
+
+// tunnel is the end of a tunnel that asked for it.
+type tunnel struct {
+	net.Conn
+	socket *websocket.Conn
+}
+
+// Close ends the tunnel at once, without waiting for the peer.
+func (t *tunnel) Close() error { return t.socket.CloseNow() }
