router, forwarder: the own interface serves through others too when the path to targets is lost

Cause: the same as behind the platform's interface: the forwarder opened its own connections to targets only. Now it opens them through package relayer. Announcements of a lost path and the wait of a draining relay are shared by both interfaces. Tests of the relayer: an answer that ends with its connection, a reset, a relay that ends under a request, cancellation, relays that refuse; no socket sets a user timeout.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -27,9 +27,6 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// dialTimeout is shorter than the time after which a lost SYN packet is
-	// retransmitted.
-	dialTimeout = 900 * time.Millisecond
 	// maxIdleTime is well below the idle timeouts of targets. An idle connection must
 	// not be reused when the target is about to close it, since a request that is sent
 	// then may or may not have run.
@@ -40,8 +37,7 @@
 	// request. Informational (1xx) responses count as well.
 	maxStrayResponses = 4
 	// maxStrayBytes limits the body size of a response to another request.
-	maxStrayBytes     = 1 << 20
-	keepAliveInterval = 2 * time.Second
+	maxStrayBytes = 1 << 20
 	// refusalTimeout is how long Refuses waits for a target to refuse a connection. One
 	// whose process has ended does so within a round trip.
 	refusalTimeout = 300 * time.Millisecond
@@ -99,15 +95,9 @@
 // Dialer opens a connection to the target at an address, as host and port.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
-// Dial opens a TCP connection to the target at an address.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // Config configures an exchanger.
 type Config struct {
-	// Dial opens connections to targets. Default: Dial.
+	// Dial opens connections to targets. Required.
 	Dial Dialer
 	// ConnectionOpened, if set, is called for each new connection.
 	ConnectionOpened func()
@@ -132,9 +122,6 @@
 	if c.ByteCounter == nil {
 		c.ByteCounter = &bytecounter.ByteCounter{}
 	}
-	if c.Dial == nil {
-		c.Dial = Dial
-	}
 	if c.Waiting == nil {
 		c.Waiting = func(int64) {}
 	}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"radishshed.example/radishshed/internal/exchanger"
+	"radishshed.example/radishshed/internal/relayer"
 )
 
 const (
@@ -121,7 +122,7 @@
 			target := newRawTarget(t, c.filler, c.start)
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
-			response, err := exchanger.New(exchanger.Config{}).Send(ctx, requestTo(target, "a"))
+			response, err := exchanger.New(exchanger.Config{Dial: relayer.DialDirect}).Send(ctx, requestTo(target, "a"))
 			if err == nil {
 				response.Close()
 				t.Fatal("a response without an end was accepted")
@@ -154,7 +155,7 @@
 			target := newRawTarget(t, c.filler, c.start)
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
-			response, err := exchanger.New(exchanger.Config{}).Send(ctx, requestTo(target, "a"))
+			response, err := exchanger.New(exchanger.Config{Dial: relayer.DialDirect}).Send(ctx, requestTo(target, "a"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -179,7 +180,7 @@
 		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 3\r\n\r\n" + body
 	}
 	target := newRawTarget(t, "", response("a", "one"), response("a", "one")+response("b", "two"))
-	e := exchanger.New(exchanger.Config{})
+	e := exchanger.New(exchanger.Config{Dial: relayer.DialDirect})
 	cases := []struct{ id, body string }{{"a", "one"}, {"b", "two"}}
 	for _, c := range cases {
 		r, err := e.Send(t.Context(), requestTo(target, c.id))
@@ -209,7 +210,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			target := newClosingTarget(t, c.response)
-			r, err := exchanger.New(exchanger.Config{}).Send(t.Context(), requestTo(target, "a"))
+			r, err := exchanger.New(exchanger.Config{Dial: relayer.DialDirect}).Send(t.Context(), requestTo(target, "a"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -235,7 +236,7 @@
 	const response = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
 	for range 50 {
 		target := newRawTarget(t, "", response, response)
-		e := exchanger.New(exchanger.Config{})
+		e := exchanger.New(exchanger.Config{Dial: relayer.DialDirect})
 		ctx, cancel := context.WithCancel(t.Context())
 		r, err := e.Send(ctx, requestTo(target, "a"))
 		if err != nil {
@@ -276,7 +277,7 @@
 		{"a target that has ended", false, closed.address(), true},
 		{"no time to find out", true, closed.address(), false},
 	}
-	e := exchanger.New(exchanger.Config{})
+	e := exchanger.New(exchanger.Config{Dial: relayer.DialDirect})
 	for _, c := range cases {
 		ctx, cancel := context.WithCancel(context.Background())
 		if c.cancelled {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,14 +111,19 @@
 type Config struct {
 	// TLS, if set, is used for connections to targets.
 	TLS *tls.Config
+	// Dial, if set, opens connections to the addresses of targets. Default: TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
+	if config.Dial != nil {
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) { return config.Dial(ctx, address) }
+	}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			TLSClientConfig:     config.TLS,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
@@ -139,6 +144,9 @@
 	}
 }
 
+// CloseIdle closes the connections that are idle.
+func (f *Forwarder) CloseIdle() { f.pooled.CloseIdleConnections() }
+
 // Send sends the request and returns the response once its headers have been
 // read. The context also bounds reading the body.
 func (f *Forwarder) Send(ctx context.Context, r Request) (*Response, *Failure) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,8 @@
 	Settings configurer.Settings
 	// Protocol translates the messages of callers and targets. Required.
 	Protocol Protocol
-	// DialTarget opens connections to targets. Default: exchanger.Dial.
-	DialTarget exchanger.Dialer
+	// DialTarget opens direct connections to targets. Default: relayer.DialDirect.
+	DialTarget relayer.Dialer
 	// Log receives the log lines. Required.
 	Log *zap.Logger
 }
@@ -248,7 +248,7 @@
 	if err := public.Shutdown(ctx); err != nil {
 		g.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
 	}
-	g.awaitRelayedConnections(ctx)
+	g.relays.AwaitUnused(ctx)
 	// Borrowers can no longer settle loans once this process has terminated. The zero
 	// process and a time after every expiry charge all loans.
 	g.chargeUnsettledLoans(identifier.Process{}, time.Now().Add(loanLifetime))
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"context"
 	"math"
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
-	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayer"
@@ -17,25 +13,18 @@
 )
 
 const (
-	// pathLostPrefix is the key prefix of disseminator entries that name a router which has
-	// lost the path to all targets. The name of the VM follows the prefix.
-	pathLostPrefix = "pathLost/"
-	pathLostLease  = 3 * time.Second
 	// relayedConnectionBytes is the memory that a connection for another router takes, and
 	// relayMemoryShare the share of the memory of the VM that is set aside for these.
 	relayedConnectionBytes = 64 << 10
 	relayMemoryShare       = 0.25
 	// defaultMaxRelayed applies where the memory of the VM is not known.
 	defaultMaxRelayed = 512
-	// relayDrainInterval is how often a draining router looks whether others still use its
-	// connections.
-	relayDrainInterval = 50 * time.Millisecond
 )
 
 // newRelayer returns what opens connections to targets.
-func (g *Gateway) newRelayer(dial exchanger.Dialer) *relayer.Relayer {
+func (g *Gateway) newRelayer(dial relayer.Dialer) *relayer.Relayer {
 	if dial == nil {
-		dial = exchanger.Dial
+		dial = relayer.DialDirect
 	}
 	maxRelayed := int(relayMemoryShare * float64(g.settings.MemoryLimitBytes()) / relayedConnectionBytes)
 	if maxRelayed == 0 {
@@ -43,7 +32,7 @@
 	}
 	return relayer.New(relayer.Config{
 		DataCentre:  g.settings.DataCentre(),
-		Dial:        relayer.Dialer(dial),
+		Dial:        dial,
 		Tunneller:   func() relayer.Tunneller { return g.endpoint },
 		Targets:     func() []string { return g.placer.Addresses(time.Now(), g.inLeaseGrace(time.Now())) },
 		Candidates:  func() []relayselector.Candidate { return *g.relayCandidates.Load() },
@@ -77,13 +66,7 @@
 
 // announceLostPath tells other routers not to choose this one as a relay.
 func (g *Gateway) announceLostPath() {
-	now := time.Now()
-	err := g.publish(disseminator.NewEntry(disseminator.EntryConfig{
-		Key:       pathLostPrefix + g.process.VM(),
-		Version:   disseminator.NewVersion(g.process.Incarnation(), uint64(now.UnixNano())),
-		ExpiresAt: now.Add(pathLostLease),
-	}))
-	if err != nil {
+	if err := g.publish(relayer.Announcement(g.process, time.Now())); err != nil {
 		g.log.Warn("cannot announce that the path to targets is lost", recorder.Err(err))
 	}
 }
@@ -93,25 +76,10 @@
 	var candidates []relayselector.Candidate
 	for _, e := range routers {
 		vm := strings.TrimPrefix(e.Key(), messenger.GatewayAddressPrefix)
-		if _, lost := g.disseminator.Get(pathLostPrefix + vm); lost || vm == g.process.VM() {
+		if vm == g.process.VM() || relayer.HasLost(vm, g.disseminator.Get) {
 			continue
 		}
 		candidates = append(candidates, relayselector.NewCandidate(vm, string(e.Value()), string(e.Load())))
 	}
 	g.relayCandidates.Store(&candidates)
 }
-
-// awaitRelayedConnections waits until other routers do not use connections of this one any
-// more.
-func (g *Gateway) awaitRelayedConnections(ctx context.Context) {
-	ticker := time.NewTicker(relayDrainInterval)
-	defer ticker.Stop()
-	for g.relays.Relayed() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			g.log.Warn("connections of other routers interrupted by the shutdown", zap.Int64("connections", g.relays.Relayed()))
-			return
-		}
-	}
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -30,6 +30,11 @@
 )
 
 const (
+	// dialTimeout is shorter than the time after which a lost SYN packet is
+	// retransmitted.
+	dialTimeout       = 900 * time.Millisecond
+	keepAliveInterval = 2 * time.Second
+
 	checkInterval = 100 * time.Millisecond
 	// probeTimeout bounds one probe. A connection to a target takes a round trip.
 	probeTimeout = pathmonitor.SilenceLimit
@@ -38,6 +43,9 @@
 	// relayTimeout bounds one attempt, and relayDialTimeout the relay's part of it.
 	relayTimeout     = 700 * time.Millisecond
 	relayDialTimeout = 450 * time.Millisecond
+	// drainInterval is how often a draining router looks whether others still use its
+	// connections.
+	drainInterval = 50 * time.Millisecond
 	// abandonDelay is how long after the loss of the path an attempt must have made progress.
 	// By then what was on its way has arrived on connections that live on.
 	abandonDelay = time.Second
@@ -49,6 +57,12 @@
 // Dialer opens a connection to the target at an address, as host and port.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
+// DialDirect opens a TCP connection to the target at an address.
+func DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Tunneller opens tunnels to other processes. linker.Endpoint implements it.
 type Tunneller interface {
 	OpenTunnel(ctx context.Context, address string, request []byte) (net.Conn, []byte, error)
@@ -119,6 +133,21 @@
 // Relayed returns the number of open connections for other routers.
 func (r *Relayer) Relayed() int64 { return r.relayed.Load() }
 
+// AwaitUnused waits until other routers do not use connections of this one any more, or the
+// context ends.
+func (r *Relayer) AwaitUnused(ctx context.Context) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for r.Relayed() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			r.config.Log.Warn("connections of other routers interrupted by the shutdown", zap.Int64("connections", r.Relayed()))
+			return
+		}
+	}
+}
+
 // Run examines suspicions until the context ends.
 func (r *Relayer) Run(ctx context.Context) {
 	repeater.New(repeater.Config{Interval: checkInterval, Step: func(ctx context.Context) {
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,298 @@
+package relayer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/exchanger"
+	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/relayselector"
+	"radishshed.example/radishshed/pkg/protocol/identifier"
+	"radishshed.example/radishshed/pkg/transport/linker"
+)
+
+const (
+	key         = "0123456789abcdef"
+	testTimeout = 5 * time.Second
+)
+
+// router is one end of relayed connections: it relays, or it has lost its path.
+type router struct {
+	relayer  *relayer.Relayer
+	endpoint *linker.Endpoint
+	server   *httptest.Server
+	cut      atomic.Bool
+}
+
+// newRouter returns a router that knows the targets and may relay through others.
+func newRouter(t *testing.T, name string, targets []string, others ...*router) *router {
+	t.Helper()
+	r := &router{}
+	var err error
+	r.endpoint, err = linker.New(linker.Config{
+		Identity: linker.NewIdentity(identifier.NewProcess(name, 1), "a", linker.Router, ""), FleetKey: []byte(key),
+		Handle: func(context.Context, *linker.Peer, uint8, []byte) ([]byte, error) { return nil, nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var candidates []relayselector.Candidate
+	for _, o := range others {
+		address := strings.TrimPrefix(o.server.URL, "http://")
+		candidates = append(candidates, relayselector.NewCandidate(address, address, "a"))
+	}
+	r.relayer = relayer.New(relayer.Config{
+		DataCentre: "a", Tunneller: func() relayer.Tunneller { return r.endpoint }, MaxRelayed: 10,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if r.cut.Load() {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			return relayer.DialDirect(ctx, address)
+		},
+		Targets:    func() []string { return append([]string(nil), targets...) },
+		Candidates: func() []relayselector.Candidate { return candidates },
+		Load:       func() float64 { return 0 }, Draining: func() bool { return false },
+		WrapCarried: func(c net.Conn) net.Conn { return c }, OnChange: func(bool) {},
+		Metrics: metrics.NewRegistry(), Log: zap.NewNop(),
+	})
+	r.server = httptest.NewServer(linker.NewTunnels(r.endpoint, r.relayer.Accept))
+	t.Cleanup(func() {
+		r.server.CloseClientConnections()
+		r.endpoint.Close()
+		r.server.Close()
+	})
+	return r
+}
+
+// rawTarget is a target whose connections the test handles itself.
+type rawTarget struct {
+	listener net.Listener
+	handle   func(net.Conn)
+	arrived  atomic.Int64 // requests
+}
+
+func newRawTarget(t *testing.T, handle func(net.Conn)) *rawTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &rawTarget{listener: listener, handle: handle}
+	t.Cleanup(func() { _ = listener.Close() }) // the test is over
+	go target.run()
+	return target
+}
+
+func (r *rawTarget) address() string { return r.listener.Addr().String() }
+
+func (r *rawTarget) run() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.runConnection(c)
+	}
+}
+
+func (r *rawTarget) runConnection(c net.Conn) {
+	buffer := make([]byte, 4096)
+	if n, err := c.Read(buffer); err != nil || n == 0 {
+		return // a probe
+	}
+	r.arrived.Add(1)
+	r.handle(c)
+}
+
+// send sends a request over a new connection of the router.
+func (r *router) send(ctx context.Context, address string) (*exchanger.Response, error) {
+	return exchanger.New(exchanger.Config{Dial: r.relayer.Dial}).Send(ctx, exchanger.Request{
+		Address: address, Method: http.MethodPost, URI: "/", Host: "target", Body: []byte("hello"),
+		MatchesResponse: func(int, http.Header) bool { return true },
+	})
+}
+
+// newPair returns a router that has lost its path, one that relays for it, and the addresses of
+// the target and of a second one, which never answers.
+func newPair(t *testing.T, handle func(net.Conn)) (lost, relay *router, target *rawTarget) {
+	t.Helper()
+	target = newRawTarget(t, handle)
+	silent := newRawTarget(t, func(net.Conn) {})
+	targets := []string{target.address(), silent.address()}
+	relay = newRouter(t, "relay", targets)
+	lost = newRouter(t, "lost", targets, relay)
+	lost.cut.Store(true)
+	return lost, relay, target
+}
+
+// Guards against a response through a relay that looks complete though it was cut short, and
+// against one that is refused though it is complete: without a length it ends with its
+// connection.
+func TestOnlyAnOrderlyEndIsPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe whole answer"
+	cases := []struct {
+		name     string
+		end      func(net.Conn)
+		complete bool
+	}{
+		{"closed", func(c net.Conn) { _ = c.Close() }, true},
+		{"reset", func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			lost, _, target := newPair(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, head) // checked in the response
+				time.Sleep(50 * time.Millisecond) // so that a reset does not overtake it
+				c.end(conn)
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			response, err := lost.send(ctx, target.address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			body, err := io.ReadAll(response)
+			if complete := err == nil && string(body) == "the whole answer"; complete != c.complete {
+				t.Errorf("%q, %v", body, err)
+			}
+		})
+	}
+}
+
+// Guards against a request that is said not to have been sent though it has, when the relay ends
+// under it, and against one that is sent twice.
+func TestRequestWhoseRelayEndsMayHaveRun(t *testing.T) {
+	received := make(chan struct{})
+	lost, relay, target := newPair(t, func(net.Conn) { close(received) })
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	go func() {
+		<-received
+		relay.endpoint.Close()
+	}()
+	_, err := lost.send(ctx, target.address())
+	if !errors.Is(err, exchanger.ErrNoResponse) || ctx.Err() != nil {
+		t.Errorf("%v, want %v", err, exchanger.ErrNoResponse)
+	}
+	if n := target.arrived.Load(); n != 1 {
+		t.Errorf("the request arrived %d times", n)
+	}
+}
+
+// Guards against a target that goes on working after the caller has left.
+func TestCancellationReachesTheTarget(t *testing.T) {
+	closed := make(chan struct{})
+	received := make(chan struct{})
+	lost, _, target := newPair(t, func(c net.Conn) {
+		close(received)
+		_, _ = io.Copy(io.Discard, c) // ends with the connection
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	if _, err := lost.send(ctx, target.address()); err == nil {
+		t.Error("a cancelled request succeeded")
+	}
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the target is still connected half a second after the cancellation")
+	}
+}
+
+// Guards against connections that are relayed twice, go round, or lead to addresses that are
+// no targets: nothing is sent then.
+func TestRelaysRefuse(t *testing.T) {
+	target := newRawTarget(t, func(net.Conn) {})
+	silent := newRawTarget(t, func(net.Conn) {})
+	targets := []string{target.address(), silent.address()}
+	cases := []struct {
+		name    string
+		setUp   func(relay *router)
+		address string
+	}{
+		{"has lost its path too", func(r *router) { r.loseThePath(t, targets[0]) }, targets[0]},
+		{"knows no such target", func(*router) {}, silentAddress(t)},
+		{"cannot be reached", func(r *router) { r.server.Close() }, targets[0]},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			relay := newRouter(t, "relay", targets)
+			lost := newRouter(t, "lost", targets, relay)
+			lost.cut.Store(true)
+			c.setUp(relay)
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			if _, err := lost.send(ctx, c.address); !errors.Is(err, exchanger.ErrNotSent) {
+				t.Errorf("%v, want %v", err, exchanger.ErrNotSent)
+			}
+		})
+	}
+	if n := target.arrived.Load() + silent.arrived.Load(); n > 0 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
+
+// loseThePath cuts the router off and lets it notice.
+func (r *router) loseThePath(t *testing.T, address string) {
+	t.Helper()
+	r.cut.Store(true)
+	if _, err := r.relayer.Dial(context.Background(), address); err == nil || !r.relayer.Lost() {
+		t.Fatalf("the router has not lost its path: %v", err)
+	}
+}
+
+// silentAddress returns an address at which nothing is a target.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() }) // the test is over
+	return listener.Addr().String()
+}
+
+// Guards against sockets on which a user timeout decides when keep-alive probes give up,
+// whatever their count: none may be set.
+func TestNoUserTimeoutIsSet(t *testing.T) {
+	const tcpUserTimeout = 0x12 // TCP_USER_TIMEOUT of Linux
+	c, err := relayer.DialDirect(context.Background(), newRawTarget(t, func(net.Conn) {}).address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }() // nothing was sent
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, keepAlive := -1, 0
+	controlErr := raw.Control(func(fd uintptr) {
+		value, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+		if err == nil {
+			keepAlive, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		}
+	})
+	if controlErr != nil || err != nil || value != 0 || keepAlive == 0 {
+		t.Errorf("user timeout %d, keep-alive %d, %v, %v", value, keepAlive, controlErr, err)
+	}
+}
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/transport/linker"
@@ -43,6 +45,9 @@
 			r.announceSelf()
 			announcedAt = time.Now()
 		}
+		if r.relays.Lost() {
+			r.announceLostPath()
+		}
 		r.endpoint.SetDialAddresses(append(slices.Clone(r.settings.ControlAddresses()), r.peerAddresses()...))
 	}}).Run(ctx)
 }
@@ -62,13 +67,15 @@
 
 // peerAddresses chooses the routers to keep links to by rendezvous hashing
 // (Thaler and Ravishankar, 1998), which spreads the links evenly and changes
-// few of them when routers join or leave.
+// few of them when routers join or leave. It also stores the number of routers and those that
+// may relay.
 func (r *Router) peerAddresses() []string {
 	type candidate struct {
 		address string
 		weight  uint64
 	}
 	byDataCentre := map[string][]candidate{}
+	var relays []relayselector.Candidate
 	serving := int64(1)
 	entries := r.disseminator.Live()
 	r.controlVMs.Update(entries)
@@ -84,10 +91,14 @@
 		if !presence.Draining {
 			serving++
 		}
+		if !presence.Draining && !relayer.HasLost(vm, r.disseminator.Get) {
+			relays = append(relays, relayselector.NewCandidate(vm, presence.Address, presence.DataCentre))
+		}
 		byDataCentre[presence.DataCentre] = append(byDataCentre[presence.DataCentre],
 			candidate{presence.Address, rendezvousWeight(r.process.VM(), vm)})
 	}
 	r.routerCount.Store(serving)
+	r.relayCandidates.Store(&relays)
 	var addresses []string
 	for _, candidates := range byDataCentre {
 		slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,8 @@
 	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
@@ -39,6 +41,8 @@
 type Config struct {
 	// Settings are the settings of the process. Required.
 	Settings configurer.Settings
+	// DialTarget opens direct connections to targets. Default: relayer.DialDirect.
+	DialTarget relayer.Dialer
 	// Log is the process log. Required.
 	Log *zap.Logger
 }
@@ -66,6 +70,9 @@
 	departures *departuresharer.Sharer
 	controlVMs limitsharer.ControlVMs
 
+	relays          *relayer.Relayer
+	relayCandidates atomic.Pointer[[]relayselector.Candidate]
+
 	configuration   atomic.Pointer[archiver.Configuration]
 	confirmed       chan struct{} // closed once a quorum has confirmed a configuration
 	confirmOnce     sync.Once
@@ -108,7 +115,6 @@
 		metrics:         metrics.NewRegistry(),
 		timeline:        recorder.NewTimeline(config.Settings.VM()),
 		allotter:        allotter.New(),
-		forwarder:       forwarder.New(forwarder.Config{}),
 		failures:        newFailureRecords(),
 		storedIntents:   intentstorer.New(intentstorer.Config{}),
 		retired:         make(chan struct{}),
@@ -117,6 +123,9 @@
 		failed:          func(error) {},
 	}
 	r.selector = selector.New(selector.Config{RouterCount: func() int { return int(r.routerCount.Load()) }})
+	r.relayCandidates.Store(&[]relayselector.Candidate{})
+	r.relays = r.newRelayer(config.DialTarget)
+	r.forwarder = forwarder.New(forwarder.Config{Dial: r.relays.Dial})
 	r.counters = newCounters(r.metrics)
 	r.configuration.Store(&archiver.Configuration{})
 	r.disseminator = disseminator.New(disseminator.Config{OnChange: r.handleEntries})
@@ -165,6 +174,7 @@
 	running.Go(func() { r.runMembership(serving) })
 	running.Go(func() { r.runConfiguration(serving) })
 	running.Go(func() { r.limits.Run(serving) })
+	running.Go(func() { r.relays.Run(serving) })
 	probes := repeater.New(repeater.Config{Interval: probeInterval, Step: r.probeStale})
 	running.Go(func() { probes.Run(serving) })
 	r.log.Info("router started", zap.Stringer("process", r.process))
@@ -211,6 +221,7 @@
 	if err := public.Shutdown(ctx); err != nil {
 		r.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
 	}
+	r.relays.AwaitUnused(ctx)
 	r.orphanTasks.Wait()
 	if err := r.committer.Flush(ctx); err != nil {
 		r.log.Warn("cannot commit all settlements before the shutdown", recorder.Err(err))
@@ -228,6 +239,7 @@
 func (r *Router) listen(fail func(error)) (public *listener.Listener, private []*listener.Listener, err error) {
 	links := chi.NewRouter()
 	links.Handle(linker.Path, r.endpoint)
+	links.Handle(linker.TunnelPath, linker.NewTunnels(r.endpoint, r.relays.Accept))
 	for address, handler := range map[string]http.Handler{
 		r.settings.LinkAddress():     links,
 		r.settings.OperatorAddress(): r.operatorRoutes(),
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,9 +23,12 @@
 	"radishshed.example/radishshed/internal/committer"
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/state/applier"
 	"radishshed.example/radishshed/pkg/state/archiver"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 const (
@@ -71,6 +76,16 @@
 
 // newTestRouter starts a router with an in-memory control and returns its URL.
 func newTestRouter(tb testing.TB, target http.Handler) string {
+	tb.Helper()
+	engine := httptest.NewServer(target)
+	tb.Cleanup(engine.Close)
+	_, url := startTestRouter(tb, []string{strings.TrimPrefix(engine.URL, "http://")}, nil)
+	return url
+}
+
+// startTestRouter starts a router that knows the engines at the addresses and opens direct
+// connections to them with dial. It returns the router and its URL.
+func startTestRouter(tb testing.TB, engines []string, dial relayer.Dialer) (*Router, string) {
 	tb.Helper()
 	folder := tb.TempDir()
 	settings := `{"vm": "router-1", "dataCentre": "a", "dataCentres": ["a"], "linkAddress": "127.0.0.1:1", "operatorAddress": "127.0.0.1:1",
@@ -84,7 +99,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	r, err := New(Config{Settings: loaded, Log: zap.NewNop()})
+	r, err := New(Config{Settings: loaded, DialTarget: dial, Log: zap.NewNop()})
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -102,22 +117,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { r.committer.Run(ctx) })
-	engine := httptest.NewServer(target)
 	callers := httptest.NewServer(r.callerRoutes())
 	tb.Cleanup(func() {
 		callers.Close()
-		engine.Close()
 		cancel()
 		running.Wait()
 	})
-	announce(tb, r, strings.TrimPrefix(engine.URL, "http://"))
-	return callers.URL
+	for i, address := range engines {
+		announce(tb, r, fmt.Sprintf("engine-%d", i), address)
+	}
+	return r, callers.URL
 }
 
-func announce(tb testing.TB, r *Router, address string) {
+func announce(tb testing.TB, r *Router, name, address string) {
 	tb.Helper()
 	body, err := json.Marshal(map[string]any{
-		"name": "engine", "address": address, "dataCentre": "a", "incarnation": 1, "sequence": 1,
+		"name": name, "address": address, "dataCentre": "a", "incarnation": 1, "sequence": 1,
 		"services": []string{"assistant"}, "capacity": 1 << 20, "state": "serving",
 	})
 	if err != nil {
@@ -204,6 +219,34 @@
 	}
 }
 
+// Guards against a router that refuses its callers because it has lost the path to all targets,
+// though another router still reaches them (RECOVER).
+func TestRouterThatLostThePathToTargetsServesThroughAnother(t *testing.T) {
+	var engines []string
+	for range 2 {
+		engine := httptest.NewServer(http.HandlerFunc(instantTarget))
+		t.Cleanup(engine.Close)
+		engines = append(engines, strings.TrimPrefix(engine.URL, "http://"))
+	}
+	relay, _ := startTestRouter(t, engines, nil)
+	tunnels := httptest.NewServer(linker.NewTunnels(relay.endpoint, relay.relays.Accept))
+	t.Cleanup(tunnels.Close)
+	lost, url := startTestRouter(t, engines, func(context.Context, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	})
+	lost.relayCandidates.Store(&[]relayselector.Candidate{
+		relayselector.NewCandidate("relay", strings.TrimPrefix(tunnels.URL, "http://"), "a"),
+	})
+	for range 10 {
+		if body, err := post(url); err != nil || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+			t.Errorf("error %v, response %q; want a complete stream", err, body)
+		}
+	}
+	if !lost.relays.Lost() {
+		t.Error("the router does not know that it has lost the path")
+	}
+}
+
 // Guards: a caller gets the complete response to its own request and never that
 // to another. An incomplete response is never relayed so that it looks
 // complete.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -260,6 +260,18 @@
 	}
 }
 
+// Addresses returns the addresses of the targets that are there.
+func (s *Selector) Addresses() []string {
+	now := s.now()
+	var addresses []string
+	for _, t := range s.registry.Load().byName {
+		if t.usable(now) {
+			addresses = append(addresses, t.address)
+		}
+	}
+	return addresses
+}
+
 // Targets returns the targets that serve the service, including those that are
 // leaving and those whose lease has expired, however long ago.
 func (s *Selector) Targets(service string) []*Target {
