adviser, gateway: brittle targets without room are spared by all routers

Cause: no router read that a target is brittle; each went on sending to all targets of a full service (LIMIT). Change: a brittle target that turns a request away is left alone by all routers for a second or longer, as its statement asks; the entry spreads like a departure. Behind the own interface targets have no such statement.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -85,6 +85,9 @@
 	// PausedUntil is until when the target wants nothing from the router that it answered,
 	// or zero.
 	PausedUntil time.Time
+	// Brittleness is how many requests the target can turn away in a second without falling
+	// over, or zero if it does not say so.
+	Brittleness int
 }
 
 // Advice is what one response says about the target that sent it. The zero value says
@@ -110,6 +113,10 @@
 // or zero.
 func (a Advice) PausedUntil() time.Time { return a.config.PausedUntil }
 
+// Brittleness returns how many requests the target can turn away in a second without falling
+// over, or zero if it does not say so.
+func (a Advice) Brittleness() int { return a.config.Brittleness }
+
 // maxPause bounds the time for which a target wants nothing. Then one request tells whether
 // it still does.
 const maxPause = 5 * time.Minute
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -57,9 +57,34 @@
 	return nil
 }
 
+// recordRejection records that a target has turned a request away. One that is brittle is left
+// alone for a while by all routers.
+func (g *Gateway) recordRejection(target selector.Announcement, advice adviser.Advice) {
+	if advice.Brittleness() == 0 || !advice.PausedUntil().IsZero() {
+		return
+	}
+	now := time.Now()
+	full := adviser.NewFull(target.Name(), target.Incarnation(), now.Add(adviser.FullPause(advice.Brittleness())))
+	g.log.Info("brittle target has no room", zap.String("target", full.Target()), zap.Int("brittleness", advice.Brittleness()),
+		zap.Duration("remaining", full.Until().Sub(now)))
+	g.placer.RecordFull(full, now)
+	if err := g.publish(full.Entry(now)); err != nil {
+		g.log.Warn("cannot publish that a brittle target has no room", zap.String("target", full.Target()), recorder.Err(err))
+	}
+}
+
+// applyFull leaves the brittle targets alone that other routers have found without room.
+func (g *Gateway) applyFull(entries []disseminator.Entry, now time.Time) {
+	for _, e := range entries {
+		if full, ok := adviser.FullFrom(e); ok {
+			g.placer.RecordFull(full, now)
+		}
+	}
+}
+
 // rejection returns the outcome of an attempt that the target refused without running it.
 func rejection(advice adviser.Advice) placer.Outcome {
-	if !advice.PausedUntil().IsZero() {
+	if !advice.PausedUntil().IsZero() || advice.Brittleness() > 0 {
 		return placer.Paused{}
 	}
 	return placer.Rejected{}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -191,6 +191,7 @@
 	g.limits.Apply(entries, now)
 	g.departures.Apply(entries, now)
 	g.origins.Apply(entries, now)
+	g.applyFull(entries, now)
 	for _, e := range entries {
 		if !selector.IsTarget(e) {
 			continue
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -367,6 +367,7 @@
 	}
 	g.applyAdvice(p, metadata.Advice())
 	if metadata.NotRun() {
+		g.recordRejection(target, metadata.Advice())
 		return result{outcome: rejection(metadata.Advice()), status: response.Status(), err: errors.Errorf("the target refused the request with status %d", response.Status())}
 	}
 	q.mayHaveRun = true
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -164,6 +164,15 @@
 	return p.departures.Add(d, now)
 }
 
+// RecordFull records that a brittle target has no room, and is to be left alone for a while.
+func (p *Placer) RecordFull(f adviser.Full, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if t, ok := p.targets[f.Target()]; ok && t.announcement.Incarnation() == f.Incarnation() && f.Until().After(t.pausedUntil) {
+		t.pause(f.Until(), now)
+	}
+}
+
 // removeSuperseded removes targets that have the address of the announced
 // target and an earlier incarnation. If a target with the same address and an
 // equal or later incarnation is known, removeSuperseded removes the announced
