exchanger, gateway: targets are told the time that is left once the connection is open

A relayed connection takes up to some hundred milliseconds to open; the time left was computed before.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -58,8 +58,9 @@
 	Address string
 	// Method, URI and Host are sent unchanged. Required.
 	Method, URI, Host string
-	// Header holds the other header fields, without hop-by-hop fields.
-	Header http.Header
+	// Header returns the other header fields, without hop-by-hop fields. It is called once the
+	// connection is open, which takes part of the time that the request has. Required.
+	Header func() http.Header
 	// Body is the complete body.
 	Body []byte
 	// NewConnection prevents the reuse of an idle connection, which may be broken
@@ -224,7 +225,7 @@
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 1024)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	for name, values := range r.Header {
+	for name, values := range r.Header() {
 		for _, value := range values {
 			b.WriteString(name + ": " + sanitise(value) + "\r\n")
 		}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -100,7 +100,7 @@
 func requestTo(target *rawTarget, id string) exchanger.Request {
 	return exchanger.Request{
 		Address: target.address(), Method: http.MethodGet, URI: "/", Host: "target",
-		Header:          http.Header{idHeader: {id}},
+		Header:          func() http.Header { return http.Header{idHeader: {id}} },
 		MatchesResponse: func(_ int, h http.Header) bool { return h.Get(idHeader) == id },
 	}
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -120,6 +120,7 @@
 func (r *router) send(ctx context.Context, address string) (*exchanger.Response, error) {
 	return exchanger.New(exchanger.Config{Dial: r.relayer.Dial}).Send(ctx, exchanger.Request{
 		Address: address, Method: http.MethodPost, URI: "/", Host: "target", Body: []byte("hello"),
+		Header:          func() http.Header { return nil },
 		MatchesResponse: func(int, http.Header) bool { return true },
 	})
 }
