--- a/internal/originsharer/originsharer.go
+++ b/internal/originsharer/originsharer.go
@@ -151,14 +151,13 @@
 	return originstorer.EncodeAnswer(s.storer.Answer(query, now))
 }
 
-// Apply records the versions that the entries name: those of targets, and those that have
-// served before. It reports whether one of them is new. The streams that go on at others
-// must be known elsewhere from then on.
-func (s *Sharer) Apply(entries []disseminator.Entry, now time.Time) bool {
+// Apply records the versions that the entries name. The origins of streams that a version
+// began which was alone so far must be known elsewhere from then on.
+func (s *Sharer) Apply(entries []disseminator.Entry, now time.Time) {
 	isNew := false
 	for _, e := range entries {
 		for _, v := range s.versionsOf(e) {
-			if s.storer.See(v, seenAt(e, now), now) {
+			if s.storer.See(v, e.ExpiresAt().Add(-originstorer.VersionRetention), now) {
 				isNew = true
 				s.config.Log.Info("new software version of a service", zap.String("service", v.Service()), zap.String("softwareVersion", v.Software()))
 			}
@@ -167,26 +166,10 @@
 	if isNew {
 		s.sendAll(now)
 	}
-	return isNew
-}
-
-// seenAt returns when a target of the version that an entry names was last seen.
-func seenAt(e disseminator.Entry, now time.Time) time.Time {
-	if strings.HasPrefix(e.Key(), versionPrefix) {
-		return e.ExpiresAt().Add(-originstorer.VersionRetention)
-	}
-	return now
 }
 
 // versionsOf returns the versions that an entry names.
 func (s *Sharer) versionsOf(e disseminator.Entry) []originstorer.Version {
-	if selector.IsTarget(e) {
-		a, err := selector.AnnouncementFrom(e)
-		if err != nil {
-			return nil // logged where targets are chosen
-		}
-		return announcedVersions(a)
-	}
 	if !strings.HasPrefix(e.Key(), versionPrefix) {
 		return nil
 	}
--- a/pkg/coordination/originstorer/originstorer.go
+++ b/pkg/coordination/originstorer/originstorer.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	// VersionRetention is how long a version of a service's software stays known after its
-	// last target was seen. It is longer than a stream that the version has begun can last.
+	// VersionRetention is how long a version of a service's software stays known after it was
+	// last seen, which is recorded at least once in half of that time. Half of it is longer
+	// than a stream that the version has begun can last.
 	VersionRetention = 10 * time.Minute
 	// HolderCount is how many processes store an origin: all but one of them may be lost.
 	HolderCount = 3
--- a/pkg/transport/linker/handshake.go
+++ b/pkg/transport/linker/handshake.go
@@ -91,6 +91,22 @@
 func (e *Endpoint) dial(ctx context.Context, address string) (*Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	socket, header, err := e.dialSocket(ctx, address+Path, "dial", "accept")
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	p, err := e.exchangeHellos(socket, header.Get(nonceHeader), false)
+	if err != nil {
+		_ = socket.CloseNow() // the handshake has failed already
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	return p, nil
+}
+
+// dialSocket opens a WebSocket connection to the address, which includes the path, and returns
+// the header of the response. The two ends prove that they know the fleet key for the given
+// purposes.
+func (e *Endpoint) dialSocket(ctx context.Context, address, purpose, responsePurpose string) (*websocket.Conn, http.Header, error) {
 	scheme := "ws"
 	if e.config.TLS != nil {
 		scheme = "wss"
@@ -99,26 +115,21 @@
 	header := http.Header{}
 	header.Set(nonceHeader, nonce)
 	header.Set(vmHeader, e.config.Identity.process.VM())
-	header.Set(proofHeader, hex.EncodeToString(e.proof("dial", nonce)))
+	header.Set(proofHeader, hex.EncodeToString(e.proof(purpose, nonce)))
 	// The library closes the body of the response.
-	socket, response, err := websocket.Dial(ctx, scheme+"://"+address+Path, &websocket.DialOptions{ //nolint:bodyclose // see above
+	socket, response, err := websocket.Dial(ctx, scheme+"://"+address, &websocket.DialOptions{ //nolint:bodyclose // see above
 		HTTPClient: e.client,
 		HTTPHeader: header,
 	})
 	if err != nil {
-		return nil, errors.Wrapf(err, "dial %s", address)
+		return nil, nil, err
 	}
 	proof, err := hex.DecodeString(response.Header.Get(proofHeader))
-	if err != nil || !e.verifyProof(proof, "accept", nonce) {
-		_ = socket.CloseNow() // the handshake has failed already
-		return nil, errors.Errorf("dial %s: the peer does not know the fleet key", address)
-	}
-	p, err := e.exchangeHellos(socket, response.Header.Get(nonceHeader), false)
-	if err != nil {
+	if err != nil || !e.verifyProof(proof, responsePurpose, nonce) {
 		_ = socket.CloseNow() // the handshake has failed already
-		return nil, errors.Wrapf(err, "dial %s", address)
+		return nil, nil, errors.New("the peer does not know the fleet key")
 	}
-	return p, nil
+	return socket, response.Header, nil
 }
 
 // exchangeHellos sends and receives a hello and registers the peer. On an accepted
--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -20,6 +20,10 @@
 	// tunnelBufferBytes is the largest message in a tunnel.
 	tunnelBufferBytes = 16 << 10
 	maxTunnelRequest  = 4 << 10
+
+	// The purposes of the two proofs of the fleet key.
+	tunnelPurpose       = "tunnel"
+	acceptTunnelPurpose = "acceptTunnel"
 )
 
 // TunnelHandler handles the request for a tunnel. It returns its reply and the connection to
@@ -41,11 +45,11 @@
 func (t *Tunnels) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	nonce := r.Header.Get(nonceHeader)
 	proof, err := hex.DecodeString(r.Header.Get(proofHeader))
-	if err != nil || nonce == "" || !t.endpoint.verifyProof(proof, "tunnel", nonce) {
+	if err != nil || nonce == "" || !t.endpoint.verifyProof(proof, tunnelPurpose, nonce) {
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	w.Header().Set(proofHeader, hex.EncodeToString(t.endpoint.proof("acceptTunnel", nonce)))
+	w.Header().Set(proofHeader, hex.EncodeToString(t.endpoint.proof(acceptTunnelPurpose, nonce)))
 	socket, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return // Accept has sent an error response
@@ -144,24 +148,11 @@
 func (e *Endpoint) OpenTunnel(ctx context.Context, address string, request []byte) (net.Conn, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	scheme := "ws"
-	if e.config.TLS != nil {
-		scheme = "wss"
-	}
-	nonce := newNonce()
-	header := http.Header{}
-	header.Set(nonceHeader, nonce)
-	header.Set(vmHeader, e.config.Identity.process.VM())
-	header.Set(proofHeader, hex.EncodeToString(e.proof("tunnel", nonce)))
-	// The library closes the body of the response.
-	socket, response, err := websocket.Dial(ctx, scheme+"://"+address+TunnelPath, &websocket.DialOptions{ //nolint:bodyclose // see above
-		HTTPClient: e.client,
-		HTTPHeader: header,
-	})
+	socket, _, err := e.dialSocket(ctx, address+TunnelPath, tunnelPurpose, acceptTunnelPurpose)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
 	}
-	reply, err := e.requestTunnel(ctx, socket, response.Header.Get(proofHeader), nonce, request)
+	reply, err := requestTunnel(ctx, socket, request)
 	if err != nil {
 		_ = socket.CloseNow() // the tunnel is of no use
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
@@ -169,11 +160,7 @@
 	return &tunnel{Conn: websocket.NetConn(e.ctx, socket, websocket.MessageBinary), socket: socket}, reply, nil
 }
 
-func (e *Endpoint) requestTunnel(ctx context.Context, socket *websocket.Conn, encodedProof, nonce string, request []byte) ([]byte, error) {
-	proof, err := hex.DecodeString(encodedProof)
-	if err != nil || !e.verifyProof(proof, "acceptTunnel", nonce) {
-		return nil, errors.New("the peer does not know the fleet key")
-	}
+func requestTunnel(ctx context.Context, socket *websocket.Conn, request []byte) ([]byte, error) {
 	if err := socket.Write(ctx, websocket.MessageBinary, request); err != nil {
 		return nil, errors.Wrap(err, "send the request")
 	}
