originstorer: Final reads the resolution once

It computed the resolution twice, with the cases in an order that had to be read twice too. Behaviour stays: TestResolution checks both answers of each case, and the tests of streams that are taken up pass.

--- a/pkg/coordination/originstorer/resolution.go
+++ b/pkg/coordination/originstorer/resolution.go
@@ -121,11 +121,11 @@
 // Final returns what follows from the answers if no more will come. What a minority says
 // about versions counts then too.
 func (r *Resolver) Final() Resolution {
-	if _, begun := r.Resolution().(Begun); !begun && r.answered > 0 && len(r.versions) == 1 {
-		return Begun{r.versions[0], false}
+	if begun, ok := r.Resolution().(Begun); ok {
+		return begun
 	}
-	if b, begun := r.Resolution().(Begun); begun {
-		return b
+	if r.answered > 0 && len(r.versions) == 1 {
+		return Begun{r.versions[0], false}
 	}
 	return Unknown{}
 }
