--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -253,6 +253,63 @@
 	}
 }
 
+// refuses reports whether the router concludes that the target at the address has ended.
+func (r *router) refuses(ctx context.Context, address string) bool {
+	return exchanger.New(exchanger.Config{Dial: r.relayer.Dial}).Refuses(ctx, address)
+}
+
+// Guards against targets that end under a request, one after another, unnoticed: while all
+// of them are away at once, their routers seem to have lost the path. Also guards against
+// the end of a target that is concluded from a router's own loss of the path.
+func TestEndOfATargetIsToldFromALostPath(t *testing.T) {
+	live, second := newRawTarget(t, func(net.Conn) {}).address(), newRawTarget(t, func(net.Conn) {}).address()
+	ended, endedToo := endedAddress(t), endedAddress(t)
+	allEnded := []string{ended, endedToo}
+	cases := []struct {
+		name    string
+		targets []string
+		others  []*router
+		cut     bool
+		address string
+		refuses bool
+	}{
+		{"all targets have ended, and there is no other router", allEnded, nil, false, ended, true},
+		{"all targets have ended, another router sees the same", allEnded, []*router{newRouter(t, "other", allEnded)}, false, ended, true},
+		{"all targets have ended, other routers believe that they have lost the path", allEnded, []*router{newLostRouter(t, allEnded)}, false, ended, true},
+		{"the path is lost, the target is well", []string{live, second}, []*router{newRouter(t, "other", []string{live, second})}, true, live, false},
+		{"the path is lost, the target has ended", []string{live, ended}, []*router{newRouter(t, "other", []string{live, ended})}, true, ended, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, "router", c.targets, c.others...)
+			r.cut.Store(c.cut)
+			for _, state := range []string{"when it is noticed", "while the path counts as lost"} {
+				if got := r.refuses(context.Background(), c.address); got != c.refuses {
+					t.Errorf("%s: %t, want %t", state, got, c.refuses)
+				}
+			}
+		})
+	}
+}
+
+// newLostRouter returns a router that has lost the path to the targets.
+func newLostRouter(t *testing.T, targets []string) *router {
+	t.Helper()
+	r := newRouter(t, "lost", targets)
+	r.loseThePath(t, targets[0])
+	return r
+}
+
+// endedAddress returns the address of a target that has ended.
+func endedAddress(t *testing.T) string {
+	t.Helper()
+	target := newRawTarget(t, func(net.Conn) {})
+	if err := target.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return target.address()
+}
+
 // loseThePath cuts the router off and lets it notice.
 func (r *router) loseThePath(t *testing.T, address string) {
 	t.Helper()
