--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -17,7 +17,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,9 +37,6 @@
 	maxStrayResponses = 4
 	// maxStrayBytes limits the body size of a response to another request.
 	maxStrayBytes = 1 << 20
-	// refusalTimeout is how long Refuses waits for a target to refuse a connection. One
-	// whose process has ended does so within a round trip.
-	refusalTimeout = 300 * time.Millisecond
 )
 
 // Errors returned by Send.
@@ -326,21 +322,6 @@
 	e.idle[c.address] = append(e.idle[c.address], c)
 }
 
-// Refuses reports whether the address refuses connections, which means that no process
-// listens there. A target that does not answer at all may be overloaded or partitioned;
-// Refuses returns false for it.
-func (e *Exchanger) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	socket, err := e.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	e.connectionOpened()
-	_ = socket.Close() // nothing was sent
-	return false
-}
-
 // CloseAllIdle closes all connections that are idle.
 func (e *Exchanger) CloseAllIdle() { e.closeIdle(func(*connection) bool { return true }) }
 
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -258,34 +258,3 @@
 		}
 	}
 }
-
-// Guards against a target that counts as ended although it listens, or although the attempt
-// to find out was given up.
-func TestRefuses(t *testing.T) {
-	listening := newRawTarget(t, "")
-	closed := newRawTarget(t, "")
-	if err := closed.listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	cases := []struct {
-		name      string
-		cancelled bool
-		address   string
-		refuses   bool
-	}{
-		{"a target that listens", false, listening.address(), false},
-		{"a target that has ended", false, closed.address(), true},
-		{"no time to find out", true, closed.address(), false},
-	}
-	e := exchanger.New(exchanger.Config{Dial: relayer.DialDirect})
-	for _, c := range cases {
-		ctx, cancel := context.WithCancel(context.Background())
-		if c.cancelled {
-			cancel()
-		}
-		if got := e.Refuses(ctx, c.address); got != c.refuses {
-			t.Errorf("%s: %t, want %t", c.name, got, c.refuses)
-		}
-		cancel()
-	}
-}
--- a/internal/gateway/investigation.go
+++ b/internal/gateway/investigation.go
@@ -46,7 +46,7 @@
 
 func (i investigation) run(ctx context.Context) {
 	defer func() { <-i.gateway.investigations }()
-	ended := i.gateway.exchanger.Refuses(ctx, i.address)
+	ended := i.gateway.relays.Refuses(ctx, i.address)
 	i.gateway.log.Info("target broke off a request before its response", zap.Bool("targetEnded", ended),
 		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.crash.Request.Fingerprint()), zap.String("target", i.crash.Target),
 		zap.Duration("ran", i.crash.EndedAt.Sub(i.crash.StartedAt)), zap.Duration("age", time.Since(i.crash.EndedAt)))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,6 +43,9 @@
 	// relayTimeout bounds one attempt, and relayDialTimeout the relay's part of it.
 	relayTimeout     = 700 * time.Millisecond
 	relayDialTimeout = 450 * time.Millisecond
+	// refusalTimeout is how long Refuses waits for a target to refuse a connection. One
+	// whose process has ended does so within a round trip.
+	refusalTimeout = 300 * time.Millisecond
 	// drainInterval is how often a draining router looks whether others still use its
 	// connections.
 	drainInterval = 50 * time.Millisecond
@@ -172,6 +175,26 @@
 	return nil, err
 }
 
+// Refuses reports whether the address of a target refuses connections, which means that no
+// process listens there. A target that does not answer at all may be overloaded or
+// partitioned; Refuses returns false for it. While the path to all targets is lost, what
+// another router meets counts. If no other router can tell, the direct connection counts: all
+// targets may have ended at once, which looks the same.
+func (r *Relayer) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	socket, err := r.Dial(ctx, address)
+	var unreachable *unreachableError
+	if err != nil && r.monitor.Lost() && !errors.As(err, &unreachable) {
+		socket, err = r.config.Dial(ctx, address)
+	}
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = socket.Close() // nothing was sent
+	return false
+}
+
 // dialDirect opens a direct connection. It gives up when the path is lost.
 func (r *Relayer) dialDirect(ctx context.Context, address string) (net.Conn, error) {
 	dial := r.monitor.BeginDial(time.Now())
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -253,11 +253,6 @@
 	}
 }
 
-// refuses reports whether the router concludes that the target at the address has ended.
-func (r *router) refuses(ctx context.Context, address string) bool {
-	return exchanger.New(exchanger.Config{Dial: r.relayer.Dial}).Refuses(ctx, address)
-}
-
 // Guards against targets that end under a request, one after another, unnoticed: while all
 // of them are away at once, their routers seem to have lost the path. Also guards against
 // the end of a target that is concluded from a router's own loss of the path.
@@ -284,7 +279,7 @@
 			r := newRouter(t, "router", c.targets, c.others...)
 			r.cut.Store(c.cut)
 			for _, state := range []string{"when it is noticed", "while the path counts as lost"} {
-				if got := r.refuses(context.Background(), c.address); got != c.refuses {
+				if got := r.relayer.Refuses(context.Background(), c.address); got != c.refuses {
 					t.Errorf("%s: %t, want %t", state, got, c.refuses)
 				}
 			}
@@ -292,6 +287,33 @@
 	}
 }
 
+// Guards against a target that counts as ended although it listens, or although the attempt
+// to find out was given up.
+func TestRefuses(t *testing.T) {
+	listening, ended := newRawTarget(t, func(net.Conn) {}).address(), endedAddress(t)
+	cases := []struct {
+		name      string
+		cancelled bool
+		address   string
+		refuses   bool
+	}{
+		{"a target that listens", false, listening, false},
+		{"a target that has ended", false, ended, true},
+		{"no time to find out", true, ended, false},
+	}
+	r := newRouter(t, "router", []string{listening, ended})
+	for _, c := range cases {
+		ctx, cancel := context.WithCancel(context.Background())
+		if c.cancelled {
+			cancel()
+		}
+		if got := r.relayer.Refuses(ctx, c.address); got != c.refuses {
+			t.Errorf("%s: %t, want %t", c.name, got, c.refuses)
+		}
+		cancel()
+	}
+}
+
 // newLostRouter returns a router that has lost the path to the targets.
 func newLostRouter(t *testing.T, targets []string) *router {
 	t.Helper()
