--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -176,6 +176,36 @@
 	}
 }
 
+// Guards against a response that is cut short by the end of its relay and looks complete to the
+// caller.
+func TestResponseWhoseRelayEndsIsNotComplete(t *testing.T) {
+	cases := []struct{ name, part string }{
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf \r\n"},
+		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf "},
+		{"until its connection ends", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			lost, relay, target := newPair(t, func(conn net.Conn) { _, _ = io.WriteString(conn, c.part) }) // checked in the response
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			response, err := lost.send(ctx, target.address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Close()
+			if _, err := io.ReadFull(response, make([]byte, len("half "))); err != nil {
+				t.Fatal(err)
+			}
+			relay.endpoint.Close()
+			rest, err := io.ReadAll(response)
+			if err == nil || errors.Is(err, io.EOF) || ctx.Err() != nil {
+				t.Errorf("the rest is %q, %v; want an error that is no end", rest, err)
+			}
+		})
+	}
+}
+
 // Guards against a request that is said not to have been sent though it has, when the relay ends
 // under it, and against one that is sent twice.
 func TestRequestWhoseRelayEndsMayHaveRun(t *testing.T) {
--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -26,6 +26,9 @@
 	acceptTunnelPurpose = "acceptTunnel"
 )
 
+// ErrTunnelBroken means that a tunnel has ended before its destination ended the connection.
+var ErrTunnelBroken = errors.New("the tunnel is broken")
+
 // TunnelHandler handles the request for a tunnel. It returns its reply and the connection to
 // which the tunnel leads, or nil if it refuses.
 type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination net.Conn)
@@ -174,5 +177,16 @@
 	socket *websocket.Conn
 }
 
+// Read reads what the destination has sent. It returns io.EOF only if the destination ended its
+// connection in an orderly way, and ErrTunnelBroken if the tunnel itself has ended, as when the
+// process between has: the WebSocket library wraps io.EOF in its errors then.
+func (t *tunnel) Read(p []byte) (int, error) {
+	n, err := t.Conn.Read(p)
+	if err == nil || err == io.EOF { //nolint:errorlint // an error that wraps io.EOF is no orderly end
+		return n, err
+	}
+	return n, errors.Wrap(ErrTunnelBroken, err.Error())
+}
+
 // Close ends the tunnel at once, without waiting for the peer.
 func (t *tunnel) Close() error { return t.socket.CloseNow() }
