--- a/pkg/state/escrower/escrower_test.go
+++ b/pkg/state/escrower/escrower_test.go
@@ -277,6 +277,52 @@
 	}
 }
 
+// Guards against budgets that are used up by what is written off when all VMs lose power for
+// a few seconds (LOST): no moment may cost a router most of its grant, since VMs that lose
+// power together come back a few tenths of a second apart.
+func TestChargeGrowsSteadilyWithTheDowntime(t *testing.T) {
+	const (
+		prepaid = 1_000_000
+		step    = 100 * time.Millisecond
+		longest = 10 * time.Second
+		// maxGrowthPercent of the grant may be charged for one step more.
+		maxGrowthPercent = 5
+	)
+	previous := chargeAfter(t, prepaid, 0)
+	for downtime := step; downtime <= longest; downtime += step {
+		charged := chargeAfter(t, prepaid, downtime)
+		if growth := charged - previous; growth < 0 || growth > prepaid*maxGrowthPercent/100 {
+			t.Errorf("%d charged after %s, %d after %s", previous, downtime-step, charged, downtime)
+		}
+		previous = charged
+	}
+}
+
+// chargeAfter returns what is written off when a router that has no witnesses loses power for
+// the given time.
+func chargeAfter(t *testing.T, prepaid int64, downtime time.Duration) int64 {
+	t.Helper()
+	ledger := escrower.New()
+	ledger.SetPrepaid(organisation, prepaid)
+	now := time.Unix(1_800_000_000, 0)
+	r := &fakeRouter{process: identifier.NewProcess("router", 1), startedAt: now}
+	apply := func(r *fakeRouter, report escrower.Report) {
+		response, err := ledger.Apply(report, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.handleResponse(response, now)
+	}
+	for range 3 {
+		apply(r, r.report(now, 7_000, 15_000, 0, 10_000))
+		now = now.Add(250 * time.Millisecond)
+	}
+	now = now.Add(downtime)
+	successor := &fakeRouter{process: identifier.NewProcess("router", 2), startedAt: now}
+	apply(successor, successor.report(now, 0, 0, 0, 0))
+	return ledger.Statements()[0].WrittenOff()
+}
+
 // A report of a process that a newer incarnation has replaced must not change the ledger.
 func TestReplacedProcessIsFenced(t *testing.T) {
 	ledger := escrower.New()
--- a/pkg/state/escrower/ledger.go
+++ b/pkg/state/escrower/ledger.go
@@ -16,9 +16,11 @@
 	// Once the last acknowledged report is as old as witnessesRequiredAfter, a router
 	// spends no more than its witnesses have stored.
 	witnessesRequiredAfter = 1200 * time.Millisecond
-	// Once the last acknowledged report is as old as fullGrantAfter, a router may spend its
-	// whole grant. Restarting all processes takes less.
-	fullGrantAfter = 3 * time.Second
+	// From growthAfter on, what a router may spend grows steadily, and reaches its whole grant
+	// once the last acknowledged report is as old as fullGrantAfter. VMs that lose power
+	// together come back at slightly different times, and are charged by these.
+	growthAfter    = 3 * time.Second
+	fullGrantAfter = 6 * time.Second
 	// clockMargin is the assumed maximum difference between clocks.
 	clockMargin = 250 * time.Millisecond
 
@@ -235,12 +237,12 @@
 func NeedsWitnesses(ackAge time.Duration) bool { return ackAge >= witnessesRequiredAfter }
 
 // Allowance returns the highest total that a router may spend when the last acknowledged
-// report has the given age, regardless of what its witnesses have stored.
+// report has the given age, regardless of what its witnesses have stored. The ledger charges
+// by the same function: one that allows a router less may run only where all routers do.
 func Allowance(allocated, ceiling, overrunRate int64, ackAge time.Duration) int64 {
-	if ackAge >= fullGrantAfter {
-		return allocated
-	}
-	return allowanceAt(allocated, ceiling, overrunRate, ackAge)
+	allowance := allowanceAt(allocated, ceiling, overrunRate, ackAge)
+	grown := min(max(ackAge-growthAfter, 0), fullGrantAfter-growthAfter)
+	return allowance + scale(allocated-allowance, int64(grown), int64(fullGrantAfter-growthAfter))
 }
 
 // WitnessedAllowance returns the total that a router may spend without a confirmation of
