--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// abandonDelay is how long after the loss of the path an attempt must have made progress. By
+// then what was on its way has arrived on connections that live on.
+const abandonDelay = time.Second
+
 // Attempt is a request at a target that may be sent elsewhere.
 type Attempt struct {
 	relayer    *Relayer
