configurer: SIGHUP during a planned stop does not end the process

Callers would have seen: requests cut off when a router got SIGHUP after SIGTERM, as when settings change during a stop. Found while tracing soak ("router 127.11.1.80 served no request within 15s"): its peers saw the router's links end at 59:57.149, while it was stopped by a fault, the moment at which the shell that had started the soak ended. The kernel sends SIGHUP to a stopped process whose group is orphaned; the soak's own routers had no handler for it. Cause in the program: the watcher gave up the signal when the context ended, so the default action came back during the drain. Change: it keeps the signal.

--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -36,7 +36,8 @@
 }
 
 // Watch handles SIGHUP, which would otherwise terminate the process, and watches the
-// settings file until the context is cancelled.
+// settings file until the context is cancelled. From then on SIGHUP is ignored: a process that
+// stops finishes its requests.
 func Watch(ctx context.Context, c WatcherConfig) {
 	w := &watcher{config: c, signals: make(chan os.Signal, 1)}
 	w.data, _ = os.ReadFile(c.Path) // the caller has just loaded the file; an error is reported by the next check
@@ -47,7 +48,6 @@
 func (w *watcher) run(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
-	defer signal.Stop(w.signals)
 	for {
 		select {
 		case <-ctx.Done():
