escrower, spender: tests cover routers that are away for up to eight seconds

Cause: since the allowance grows to the whole grant at 6 s, a case named "after fullGrantAfter" stood at 4 s, and the properties drew times up to about 4 s. Cases at 7 s beside those at 4 s and 5 s; the properties draw partitions of 3 to 8 s and restarts after up to 8 s (spender: 7 s and 6 s). Four copies of the same closure are one method now.

--- a/internal/spender/property_test.go
+++ b/internal/spender/property_test.go
@@ -146,7 +146,7 @@
 					f.now = f.now.Add(100 * time.Millisecond)
 				}
 			case "disconnected":
-				for range rapid.IntRange(2, 4).Draw(t, "seconds") {
+				for range rapid.IntRange(2, 7).Draw(t, "seconds") {
 					f.now = f.now.Add(time.Second)
 					if rapid.Bool().Draw(t, "witnesses reachable") {
 						f.sendCeilings(r)
@@ -156,7 +156,7 @@
 					f.spend(r, size, rapid.IntRange(1, 60).Draw(t, "requests"), share)
 				}
 			case "restart":
-				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "downtime")) * time.Millisecond)
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "downtime")) * time.Millisecond)
 				f.start(i)
 			case "forget":
 				f.now = f.now.Add(3 * time.Minute) // past the retention of stored ceilings
--- a/pkg/state/escrower/escrower_test.go
+++ b/pkg/state/escrower/escrower_test.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// applyReport applies a report of the router to the ledger, and the response to the router.
+func (r *fakeRouter) applyReport(t *testing.T, ledger *escrower.Ledger, report escrower.Report, now time.Time) {
+	t.Helper()
+	response, err := ledger.Apply(report, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.handleResponse(response, now)
+}
+
 // An organisation's spending must never exceed its prepaid budget, whichever routers fail
 // and whichever messages are lost or delayed.
 func TestSpendStaysWithinPrepaid(t *testing.T) {
@@ -157,7 +167,7 @@
 					r.spent += rapid.Int64Range(0, room).Draw(t, "tokens")
 				}
 			case "disconnect":
-				now = now.Add(4 * time.Second)
+				now = now.Add(time.Duration(rapid.IntRange(3000, 8000).Draw(t, "partition")) * time.Millisecond)
 			case "witness":
 				if escrower.NeedsWitnesses(r.ackAge(now)) {
 					r.sendCeiling(routers, min(r.granted-r.returned, r.spent+rapid.Int64Range(0, 20_000).Draw(t, "ceiling")))
@@ -207,7 +217,7 @@
 				start(i)
 			case "restart":
 				ended += r.spent
-				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "downtime")) * time.Millisecond)
+				now = now.Add(time.Duration(rapid.IntRange(0, 8000).Draw(t, "downtime")) * time.Millisecond)
 				start(i)
 			case "topUp":
 				prepaid += rapid.Int64Range(0, 20_000).Draw(t, "tokens added")
@@ -247,7 +257,8 @@
 		maxCharge int64
 	}{
 		{"restarted within a second", time.Second, 30_000},
-		{"down for longer than fullGrantAfter", 5 * time.Second, prepaid},
+		{"down while its allowance grows", 5 * time.Second, prepaid},
+		{"down for longer than fullGrantAfter", 7 * time.Second, prepaid},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -306,13 +317,7 @@
 	ledger.SetPrepaid(organisation, prepaid)
 	now := time.Unix(1_800_000_000, 0)
 	r := &fakeRouter{process: identifier.NewProcess("router", 1), startedAt: now}
-	apply := func(r *fakeRouter, report escrower.Report) {
-		response, err := ledger.Apply(report, now)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.handleResponse(response, now)
-	}
+	apply := func(r *fakeRouter, report escrower.Report) { r.applyReport(t, ledger, report, now) }
 	for range 3 {
 		apply(r, r.report(now, 7_000, 15_000, 0, 10_000))
 		now = now.Add(250 * time.Millisecond)
@@ -350,13 +355,7 @@
 			process: identifier.NewProcess(vm, incarnation), startedAt: now, storedCeilings: map[identifier.Process]int64{},
 		}
 	}
-	apply := func(r *fakeRouter, report escrower.Report) {
-		response, err := ledger.Apply(report, now)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.handleResponse(response, now)
-	}
+	apply := func(r *fakeRouter, report escrower.Report) { r.applyReport(t, ledger, report, now) }
 	witness, r := newRouter("witness", 1), newRouter("router", 1)
 	for range 3 {
 		apply(r, r.report(now, 7_000, 15_000, 0, 10_000, witness.process))
@@ -393,20 +392,15 @@
 		name     string
 		downtime time.Duration
 	}{
-		{"restarted before fullGrantAfter", 2 * time.Second},
-		{"restarted after fullGrantAfter", 4 * time.Second},
+		{"restarted before its allowance grows", 2 * time.Second},
+		{"restarted while its allowance grows", 4 * time.Second},
+		{"restarted after fullGrantAfter", 7 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ledger := escrower.New()
 			ledger.SetPrepaid(organisation, prepaid)
 			now := time.Unix(1_800_000_000, 0)
-			apply := func(r *fakeRouter, report escrower.Report) {
-				response, err := ledger.Apply(report, now)
-				if err != nil {
-					t.Fatal(err)
-				}
-				r.handleResponse(response, now)
-			}
+			apply := func(r *fakeRouter, report escrower.Report) { r.applyReport(t, ledger, report, now) }
 			start := func(vm string, incarnation uint64) *fakeRouter {
 				return &fakeRouter{
 					process: identifier.NewProcess(vm, incarnation), startedAt: now, storedCeilings: map[identifier.Process]int64{},
@@ -452,13 +446,7 @@
 			ledger.SetPrepaid(organisation, prepaid)
 			now := time.Unix(1_800_000_000, 0)
 			r := &fakeRouter{process: identifier.NewProcess("router", 1), startedAt: now}
-			apply := func(r *fakeRouter, report escrower.Report) {
-				response, err := ledger.Apply(report, now)
-				if err != nil {
-					t.Fatal(err)
-				}
-				r.handleResponse(response, now)
-			}
+			apply := func(r *fakeRouter, report escrower.Report) { r.applyReport(t, ledger, report, now) }
 			for range 3 {
 				apply(r, r.report(now, 30_000, 60_000, 0, 40_000))
 				r.spent += 20_000
