review: an incomplete heartbeat of another writer makes a stranger a replica (ROUTE)

Cause: decodeAnnouncement fills fields that are missing, so a heartbeat without born names a target. Nothing is fixed.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -144,7 +144,7 @@
 	for range 100 {
 		prefix := fmt.Sprintf("127.%d.%d", 10+rand.IntN(230), rand.IntN(250))
 		free := true
-		for n := 1; n < 90 && free; n++ {
+		for n := 1; n < 190 && free; n++ {
 			for _, port := range []int{linkPort, internalPort, frontPort, readyPort, adminPort, targetPort} {
 				l, err := net.Listen("tcp", addr(fmt.Sprintf("%s.%d", prefix, n), port))
 				if err != nil {
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	replicas      = 12
-	released      = 6 // a share of 0.5
-	releaseGap    = time.Second
+	replicas      = 36
+	released      = 18 // a share of 0.5
+	releaseGap    = 720 * time.Millisecond
 	linger        = 1500 * time.Millisecond // after drain_timeout_ms
 	foreignIDs    = 40
 	clientsOfLook = 16
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,7 +41,7 @@
 
 func (f *fleet) startTarget(n int, id, service string, work func(*target, http.ResponseWriter, *http.Request)) *target {
 	t := &target{
-		fleet: f, id: id, service: service, version: "v1", address: addr(f.ip(50+n), targetPort),
+		fleet: f, id: id, service: service, version: "v1", address: addr(f.ip(100+n), targetPort),
 		zone: []string{"a", "b", "c"}[n%3], capacity: 64, born: time.Now().UnixMilli(), work: work,
 		stopped: make(chan struct{}), runs: map[string]int{},
 	}
@@ -153,10 +154,11 @@
 	return t.call("/Instances.Deregister/"+t.id, body)
 }
 
-// call calls the control VMs in turn until one acknowledges.
+// call calls the control VMs, in an order drawn by lot, until one acknowledges.
 func (t *target) call(path string, body []byte) bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for _, c := range t.fleet.controls {
+	for _, n := range rand.Perm(len(t.fleet.controls)) {
+		c := t.fleet.controls[n]
 		response, err := client.Post("http://"+addr(c.ip, adminPort)+path, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
