--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -1,7 +1,8 @@
 // Package configurer loads and validates the settings of a process.
 //
-// Settings come from a JSON file only: environment variables and flags do not
-// override them. An invalid setting is reported in one line that names the file and
+// Settings come from a JSON file: environment variables and flags do not override
+// them. The only exception is GracePeriodVariable, which earlier builds ignore, while
+// they refuse a file with a field that they do not know. An invalid setting is reported in one line that names the file and
 // the field and says how to correct it.
 package configurer
 
@@ -25,6 +26,10 @@
 	"radishshed.example/radishshed/pkg/state/archiver"
 )
 
+// GracePeriodVariable is the environment variable with the grace period of a process whose
+// settings file does not set it.
+const GracePeriodVariable = "RADISHSHED_GRACE_PERIOD"
+
 const (
 	defaultDrainDelay = 5 * time.Second
 	bytesPerMegabit   = 125_000
@@ -50,6 +55,7 @@
 	clientTLS            *tls.Config
 	logLevel             string
 	drainDelay           time.Duration
+	gracePeriod          time.Duration
 	seedHosts            []string
 	readyAddress         string
 	unauthenticatedLinks bool
@@ -153,6 +159,10 @@
 // requests, so that the platform's load balancer can stop sending them.
 func (s Settings) DrainDelay() time.Duration { return s.drainDelay }
 
+// GracePeriod returns how long after SIGTERM the platform kills the process, or zero if that
+// is not known.
+func (s Settings) GracePeriod() time.Duration { return s.gracePeriod }
+
 type jsonTLS struct {
 	CertificateFile string `json:"certificateFile" validate:"required"`
 	KeyFile         string `json:"keyFile" validate:"required"`
@@ -189,6 +199,7 @@
 	TLS               *jsonTLS     `json:"tls,omitempty"`
 	LogLevel          string       `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 	DrainNotice       string       `json:"drainNotice,omitempty"`
+	GracePeriod       string       `json:"gracePeriod,omitempty"`
 	MaxEventKB        int          `json:"maxEventKilobytes,omitempty" validate:"gte=0"`
 }
 
@@ -301,6 +312,9 @@
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
+	if err := s.setGracePeriod(w.GracePeriod, os.Getenv(GracePeriodVariable)); err != nil {
+		return s, err
+	}
 	if err := s.setLinks(w, folder); err != nil {
 		return s, err
 	}
@@ -318,6 +332,22 @@
 	return s, nil
 }
 
+// setGracePeriod sets the grace period from the settings file or else from the environment.
+func (s *Settings) setGracePeriod(fromFile, fromEnvironment string) error {
+	name, text := "gracePeriod", fromFile
+	if text == "" {
+		name, text = GracePeriodVariable, fromEnvironment
+	}
+	if text == "" {
+		return nil
+	}
+	var err error
+	if s.gracePeriod, err = time.ParseDuration(text); err != nil || s.gracePeriod <= 0 {
+		return errors.Errorf(`%s: %q is not a duration above zero: use the form "30s"`, name, text)
+	}
+	return nil
+}
+
 // unauthenticatedLinkKey replaces the fleet key if links are not authenticated. The
 // key is not a secret.
 const unauthenticatedLinkKey = "links without a fleet key"
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -30,6 +30,7 @@
 		{"unwritable data folder", `"dataFolder": "data"`, `"dataFolder": "fleet.key/data"`, configurer.Control{}, "cannot be created"},
 		{"no fleet key", `fleet.key`, `other.key`, configurer.Router{}, "fleetKeyFile: "},
 		{"broken JSON", `"vm":`, `"vm"`, configurer.Router{}, "not valid JSON settings"},
+		{"bad grace period", `"vm"`, `"gracePeriod": "0s", "vm"`, configurer.Router{}, `gracePeriod: "0s" is not a duration above zero`},
 		{"bad duration", `"vm"`, `"drainNotice": "soon", "vm"`, configurer.Router{}, `drainNotice: "soon" is not a duration`},
 	}
 	for _, c := range cases {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,9 @@
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayer"
 	"radishshed.example/radishshed/internal/relayselector"
+	"radishshed.example/radishshed/internal/requesttracker"
 	"radishshed.example/radishshed/internal/retrier"
+	"radishshed.example/radishshed/internal/shutdownplanner"
 	"radishshed.example/radishshed/internal/spender"
 	"radishshed.example/radishshed/internal/timekeeper"
 	"radishshed.example/radishshed/internal/verdictsharer"
@@ -108,7 +110,7 @@
 	isLender                        atomic.Bool                 // whether other routers request loans from this one
 	lenderVMs                       atomic.Pointer[map[string]bool]
 	lastRouters                     []disseminator.Entry // used only by the goroutine that maintains the membership
-	draining                        atomic.Bool
+	tracker                         *requesttracker.Tracker
 	byteCounter                     bytecounter.ByteCounter // bytes of the connections of callers and targets
 	offloader                       *offloader.Offloader    // used only by the goroutine that observes the load
 	diverting                       atomic.Bool             // whether new connections are diverted to other routers
@@ -148,6 +150,7 @@
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
 	g.ceilingRepeater = repeater.New(repeater.Config{Interval: witnessInterval, Step: g.sendPendingCeilings})
 	g.meters = newMeters(g.metrics)
+	g.tracker = requesttracker.New(requesttracker.Config{Metrics: g.metrics, Log: c.Log})
 	g.catalogueRecord.Store(&cataloguer.Record{})
 	g.Reload(c.Settings)
 	g.relayCandidates.Store(&[]relayselector.Candidate{})
@@ -236,28 +239,39 @@
 }
 
 // drain serves until the drain notice is over, waits for the open requests, and sends the
-// final report.
+// final report. If it is known when the process is killed, drain returns before that.
 func (g *Gateway) drain(ctx context.Context, public *listener.Listener) {
-	g.draining.Store(true)
-	g.log.Info("draining", zap.Int64("open", g.meters.open.Count()), zap.Duration("notice", g.settings.DrainDelay()))
+	plan := shutdownplanner.FromSettings(g.settings.DrainDelay(), g.settings.GracePeriod(), time.Now())
+	g.tracker.BeginShutdown(plan)
 	select {
-	case <-time.After(g.settings.DrainDelay()):
+	case <-time.After(time.Until(plan.NoticeEndsAt())):
 	case <-ctx.Done():
 		return
 	}
-	if err := public.Shutdown(ctx); err != nil {
-		g.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
-	}
-	g.relays.AwaitUnused(ctx)
+	g.awaitRequests(ctx, plan, public)
 	// Borrowers can no longer settle loans once this process has terminated. The zero
 	// process and a time after every expiry charge all loans.
 	g.chargeUnsettledLoans(identifier.Process{}, time.Now().Add(loanLifetime))
-	ctx, cancel := context.WithTimeout(ctx, finalReportTimeout)
+	ctx, cancel := context.WithDeadline(ctx, plan.ReportUntil(time.Now().Add(finalReportTimeout)))
 	defer cancel()
 	if err := g.report(ctx, true); err != nil {
 		g.log.Warn("cannot send the final report: the grants are not returned to control", recorder.Err(err))
 	}
-	g.log.Info("drained")
+	g.tracker.LogShutdown(time.Now())
+}
+
+// awaitRequests waits until the requests of callers, and those that this router carries for
+// others, have ended.
+func (g *Gateway) awaitRequests(ctx context.Context, plan shutdownplanner.Plan, public *listener.Listener) {
+	if plan.Bounded() {
+		bounded, cancel := context.WithDeadline(ctx, plan.FlushedAt())
+		defer cancel()
+		ctx = bounded
+	}
+	if err := public.Shutdown(ctx); err != nil {
+		g.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
+	}
+	g.relays.AwaitUnused(ctx)
 }
 
 func (g *Gateway) listen(failed func(error)) (private []*listener.Listener, public *listener.Listener, err error) {
@@ -292,7 +306,7 @@
 	return private, public, err
 }
 
-func (g *Gateway) ready() bool { return g.catalogue.Load() != nil && !g.draining.Load() }
+func (g *Gateway) ready() bool { return g.catalogue.Load() != nil && !g.tracker.ShuttingDown() }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.ready() || g.diverting.Load() {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -59,8 +59,13 @@
 	return newRefusal(http.StatusServiceUnavailable, "noTarget", targetRetryAfter)
 }
 
-// timeoutRefusal returns the refusal of a request that is past its deadline.
+// timeoutRefusal returns the refusal of a request that is past its deadline, or that was
+// interrupted since the process is about to be killed.
 func (q *request) timeoutRefusal() *refusal {
+	if q.tracked.Cut() {
+		return newRefusal(http.StatusServiceUnavailable, "routerStopped", shutdownRetryAfter)
+	}
+	q.tracked.EndRun(time.Now())
 	if q.mayHaveRun {
 		return newRefusal(http.StatusGatewayTimeout, "timeout", 0)
 	}
@@ -104,6 +109,7 @@
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(withJitter(r.retryAfter).Seconds(), 'f', 3, 64))
 	}
+	q.announceClose()
 	q.writer.WriteHeader(r.status)
 	_, _ = q.writer.Write(body) // fails only if the caller has disconnected
 	if q.mayHaveRun {
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -37,7 +37,7 @@
 		Targets:     func() []string { return g.placer.Addresses(time.Now(), g.inLeaseGrace(time.Now())) },
 		Candidates:  func() []relayselector.Candidate { return *g.relayCandidates.Load() },
 		Load:        g.relayLoad,
-		Draining:    g.draining.Load,
+		Draining:    g.tracker.ShuttingDown,
 		MaxRelayed:  maxRelayed,
 		WrapCarried: g.byteCounter.WrapConnection,
 		OnChange:    g.pathChanged,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,14 +6,17 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"radishshed.example/radishshed/internal/durationestimator"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayer"
+	"radishshed.example/radishshed/internal/requesttracker"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 )
 
@@ -66,6 +69,11 @@
 	// onlyVersion, if not nil, is the software version that began the stream. It may go on
 	// at no other.
 	onlyVersion *string
+	// tracked is the entry of the request among those that the router has taken.
+	tracked *requesttracker.Request
+	// readMutex guards readingBody, which is set while the body is read from the caller.
+	readMutex   sync.Mutex
+	readingBody bool
 	// watch ends the attempt if it hangs since the path to targets was lost. It is nil if the
 	// request may not be sent again.
 	watch *relayer.Attempt
@@ -73,19 +81,20 @@
 
 // serve handles a request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{gateway: g, writer: w, http: r, arrivedAt: time.Now()}
 	g.meters.open.Inc(1)
 	defer g.meters.open.Dec(1)
+	ctx, end := context.WithCancel(r.Context())
+	defer end()
+	q.tracked = g.tracker.Add(func() { q.interrupt(end) })
+	defer q.tracked.Remove()
 	q.metadata = g.protocol.ParseRequest(r)
 	if refusal := q.admit(); refusal != nil {
 		q.refuse(refusal)
 		return
 	}
 	q.limitWriting()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	if refusal := q.takeUp(ctx); refusal != nil {
 		q.refuse(refusal)
@@ -96,6 +105,7 @@
 		return
 	}
 	defer q.settle()
+	q.tracked.BeginRun(time.Now())
 	q.run(ctx)
 }
 
@@ -128,6 +138,10 @@
 	if !ok {
 		return newRefusal(http.StatusServiceUnavailable, "noService", startingRetryAfter)
 	}
+	q.tracked.Describe(durationestimator.NewRequest(q.route.Name(), q.metadata.config.MaxOutputTokens))
+	if r := q.shutdownRefusal(); r != nil {
+		return r
+	}
 	if r := q.readBody(); r != nil {
 		return r
 	}
@@ -143,14 +157,6 @@
 	}
 }
 
-// limitReading makes reads from the caller fail after the given time, or lifts the limit
-// if it is zero.
-func (q *request) limitReading(until time.Time) {
-	if err := http.NewResponseController(q.writer).SetReadDeadline(until); err != nil {
-		q.gateway.log.Warn("cannot limit the time for reading from a caller", recorder.Err(err))
-	}
-}
-
 func (q *request) readBody() *refusal {
 	limit := q.catalogue.Limits().MaxBodyBytes
 	if limit <= 0 {
@@ -159,7 +165,7 @@
 	if q.http.ContentLength == 0 {
 		return nil
 	}
-	q.limitReading(q.deadline)
+	q.beginReading()
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -170,7 +176,7 @@
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, "bodyNotRead", 0)
 	}
-	q.limitReading(time.Time{})
+	q.endReading()
 	q.body = body
 	return nil
 }
@@ -193,6 +199,10 @@
 func (q *request) run(ctx context.Context) {
 	unreachable := 0
 	for {
+		if r := q.shutdownRefusal(); r != nil {
+			q.giveUp(r)
+			return
+		}
 		if r := q.quarantineRefusal(); r != nil {
 			q.giveUp(r)
 			return
--- a/internal/gateway/reservation.go
+++ b/internal/gateway/reservation.go
@@ -289,7 +289,7 @@
 	g.loans.mutex.Lock()
 	defer g.loans.mutex.Unlock()
 	tokens := int64(0)
-	if _, returned := g.loans.returned[key]; !returned && !g.draining.Load() {
+	if _, returned := g.loans.returned[key]; !returned && !g.tracker.ShuttingDown() {
 		tokens = g.spender.ReserveUpTo(requested.Organisation(), requested.Tokens(), now)
 	}
 	delete(g.loans.returned, key)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -105,10 +105,12 @@
 	for name, values := range q.gateway.protocol.ResponseHeader(response.Header()) {
 		header[name] = values
 	}
+	q.announceClose()
 }
 
 // recordServed records a response that was relayed completely.
 func (q *request) recordServed(status int) {
+	q.tracked.EndRun(time.Now())
 	q.gateway.meters.served.Inc(1)
 	q.gateway.meters.firstByte.Update(q.timeToFirstByte.Milliseconds())
 	q.gateway.meters.duration.Update(time.Since(q.arrivedAt).Milliseconds())
--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if g.draining.Load() {
+	if g.tracker.ShuttingDown() {
 		return errors.New("a draining router stores no ceilings")
 	}
 	g.storedCeilings.Store(from.Identity().Process(), ceilings, time.Now())
