router: the own interface refuses what cannot end before the process is killed (LOST)

Change: the decision of the gateway (package shutdownplanner, by the durations of the service's requests of similar cost), before a target is chosen. A refusal is the new kind stopping (503, not run). A request with an idempotency key is still looked up first, as for every refusal. A router that control has retired is not about to be killed: it takes requests until the end of the notice.

--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -28,6 +28,7 @@
 	TargetsLimited     Kind = "targetsLimited"
 	ControlUnreachable Kind = "controlUnreachable"
 	Starting           Kind = "starting"
+	Stopping           Kind = "stopping"
 	Quarantined        Kind = "requestQuarantined"
 	TargetFailed       Kind = "targetFailed"
 	TargetTimeout      Kind = "targetTimeout"
@@ -56,6 +57,7 @@
 	TargetsLimited:     {http.StatusServiceUnavailable, "server_error", time.Second},
 	ControlUnreachable: {http.StatusServiceUnavailable, "server_error", 2 * time.Second},
 	Starting:           {http.StatusServiceUnavailable, "server_error", time.Second},
+	Stopping:           {http.StatusServiceUnavailable, "server_error", time.Second},
 	Quarantined:        {http.StatusUnprocessableEntity, "invalid_request_error", 0},
 	TargetFailed:       {http.StatusBadGateway, "server_error", 0},
 	TargetTimeout:      {http.StatusGatewayTimeout, "server_error", 0},
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/admitter"
+	"radishshed.example/radishshed/internal/durationestimator"
 	"radishshed.example/radishshed/internal/forwarder"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/internal/recorder"
@@ -59,7 +61,7 @@
 	return r.settings.OperatorCredentials().AdmitsOperator(hash) || r.configuration.Load().Credentials().AdmitsOperator(hash)
 }
 
-func (r *Router) ready() bool { return r.isConfirmed() && !r.draining.Load() }
+func (r *Router) ready() bool { return r.isConfirmed() && !r.tracker.ShuttingDown() }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !r.ready() {
@@ -73,7 +75,7 @@
 		"dataCentre": r.settings.DataCentre(),
 		"process":    r.process.String(),
 		"role":       "router",
-		"draining":   r.draining.Load(),
+		"draining":   r.tracker.ShuttingDown(),
 		"ticket":     r.configuration.Load().Number(),
 		"peers":      operator.DescribePeers(r.endpoint.Peers()),
 		"entries":    operator.EntryKeys(r.disseminator.Live()),
@@ -84,13 +86,18 @@
 // router drains. The load balancer routes their new connections elsewhere.
 func (r *Router) closeWhenDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if r.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
+		r.announceClose(w)
 		next.ServeHTTP(w, request)
 	})
 }
 
+// announceClose makes the client close the connection after the response if the router drains.
+func (r *Router) announceClose(w http.ResponseWriter) {
+	if r.tracker.ShuttingDown() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (r *Router) serveChat(w http.ResponseWriter, request *http.Request) {
 	r.serve(w, request, admitter.Request{Method: http.MethodPost, Path: "/v1/chat/completions"})
 }
@@ -129,8 +136,13 @@
 	r.counters.admitted.Inc(1)
 	r.counters.open.Inc(1)
 	defer r.counters.open.Dec(1)
-	j := newJob(r, id, admission)
-	j.run(request.Context(), w)
+	ctx, end := context.WithCancel(request.Context())
+	defer end()
+	tracked := r.tracker.Add(end)
+	defer tracked.Remove()
+	tracked.Describe(durationestimator.NewRequest(admission.Service().Name(), int64(admission.MaxCost())))
+	j := newJob(r, id, admission, tracked)
+	j.run(ctx, w)
 }
 
 func (r *Router) admit(w http.ResponseWriter, request *http.Request, a admitter.Request) (admitter.Admission, *admitter.Refusal) {
@@ -175,6 +187,7 @@
 // refuse sends the refusal to the caller.
 func (r *Router) refuse(w http.ResponseWriter, refusal *admitter.Refusal) {
 	r.counters.refused.Inc(1)
+	r.announceClose(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(classifier.Header, refusal.Verdict().String())
 	if after := refusal.RetryAfter(); after > 0 {
--- a/internal/router/disconnected.go
+++ b/internal/router/disconnected.go
@@ -69,7 +69,7 @@
 
 // storeIntents stores intents for another router.
 func (r *Router) storeIntents(body []byte) error {
-	if !r.committer.Registered() || r.draining.Load() {
+	if !r.committer.Registered() || r.tracker.ShuttingDown() {
 		return errors.New("this router cannot store intents: it is draining or not registered with control")
 	}
 	intents, err := messenger.DecodeIntents(body)
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -6,12 +6,15 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/admitter"
 	"radishshed.example/radishshed/internal/forwarder"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/requesttracker"
 	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/internal/shutdownplanner"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/claimer"
 	"radishshed.example/radishshed/pkg/protocol/classifier"
@@ -54,10 +57,12 @@
 	retried      bool
 	triedTargets []string
 	started      bool // whether the response to the caller has begun
+	tracked      *requesttracker.Request
 }
 
-func newJob(r *Router, request identifier.Request, a admitter.Admission) *job {
+func newJob(r *Router, request identifier.Request, a admitter.Admission, tracked *requesttracker.Request) *job {
 	return &job{
+		tracked:   tracked,
 		router:    r,
 		request:   request,
 		admission: a,
@@ -81,7 +86,11 @@
 // refuses the request and releases what was reserved.
 func (j *job) run(ctx context.Context, w http.ResponseWriter) {
 	j.router.recordEvent("admitted", j, j.admission.Service().Name())
-	placement, refusal := j.acquire(ctx)
+	var placement *selector.Placement
+	refusal := j.shutdownRefusal()
+	if refusal == nil {
+		placement, refusal = j.acquire(ctx)
+	}
 	if refusal == nil {
 		refusal = j.reserve(ctx)
 	}
@@ -115,9 +124,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.admission.Service().Timeout())
 	defer cancel()
+	j.tracked.BeginRun(time.Now())
 	j.dispatch(ctx, w, &placement)
 }
 
+// shutdownRefusal returns a refusal if the router shuts down and the request might not end before
+// the process is killed.
+func (j *job) shutdownRefusal() *admitter.Refusal {
+	now := time.Now()
+	deadline := now.Add(openTimeout + j.admission.Service().Timeout())
+	switch decision, longestRun := j.tracked.Decide(now, deadline); decision.(type) {
+	case shutdownplanner.Accept:
+		return nil
+	case shutdownplanner.Refuse:
+		j.tracked.SetRefused()
+		j.router.log.Info("request refused by the shutdown", zap.Stringer("request", j.request),
+			zap.String("organisation", j.organisation()), zap.Duration("longestRun", longestRun), zap.Duration("timeLeft", deadline.Sub(now)))
+		return admitter.Refuse(admitter.Stopping, "this router is shutting down and might not finish the request: send it to another one")
+	default:
+		panic(errors.Errorf("router: unknown decision %T", decision))
+	}
+}
+
 // reserve reserves the highest possible cost of the request from the router's
 // grants, and draws on the budget if the grants do not cover it.
 func (j *job) reserve(ctx context.Context) *admitter.Refusal {
@@ -285,8 +313,12 @@
 		j.router.recordEvent("sent", j, target.Name())
 		failure := j.attempt(ctx, w, target)
 		if failure == nil {
+			j.tracked.EndRun(time.Now())
 			return
 		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			j.tracked.EndRun(time.Now())
+		}
 		j.router.log.Info("attempt failed",
 			zap.Stringer("request", j.request), zap.String("organisation", j.organisation()),
 			zap.String("target", target.Name()), zap.Stringer("verdict", failure.Verdict()), recorder.Err(failure))
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -53,7 +53,7 @@
 }
 
 func (r *Router) announceSelf() {
-	value, err := json.Marshal(jsonPresence{r.settings.AdvertisedAddress(), r.settings.DataCentre(), r.draining.Load()})
+	value, err := json.Marshal(jsonPresence{r.settings.AdvertisedAddress(), r.settings.DataCentre(), r.tracker.ShuttingDown()})
 	if err != nil {
 		return // encoding strings and a boolean cannot fail
 	}
--- a/internal/router/orphaned_intents.go
+++ b/internal/router/orphaned_intents.go
@@ -16,7 +16,7 @@
 // resolveOrphanedIntents determines the outcome of requests whose router has
 // terminated, and settles those that are no longer running.
 func (r *Router) resolveOrphanedIntents(intents []bookkeeper.Intent) {
-	if r.draining.Load() {
+	if r.tracker.ShuttingDown() {
 		return
 	}
 	r.orphanTasks.Add(1)
--- a/internal/router/relaying.go
+++ b/internal/router/relaying.go
@@ -24,7 +24,7 @@
 		Targets:     r.selector.Addresses,
 		Candidates:  func() []relayselector.Candidate { return *r.relayCandidates.Load() },
 		Load:        func() float64 { return 0 },
-		Draining:    r.draining.Load,
+		Draining:    r.tracker.ShuttingDown,
 		WrapCarried: func(c net.Conn) net.Conn { return c },
 		MaxRelayed:  maxRelayed,
 		OnChange:    r.pathChanged,
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -86,6 +86,7 @@
 
 func (j *job) writeResponse(w http.ResponseWriter, status int, contentType string, body []byte) {
 	j.started = true
+	j.router.announceClose(w)
 	j.router.counters.served.Inc(1)
 	w.Header().Set("Content-Type", contentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -140,6 +141,7 @@
 
 func (j *job) startStream(w http.ResponseWriter) {
 	j.started = true
+	j.router.announceClose(w)
 	j.router.recordEvent("firstToken", j, "")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,7 +27,9 @@
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayer"
 	"radishshed.example/radishshed/internal/relayselector"
+	"radishshed.example/radishshed/internal/requesttracker"
 	"radishshed.example/radishshed/internal/selector"
+	"radishshed.example/radishshed/internal/shutdownplanner"
 	"radishshed.example/radishshed/pkg/coordination/allotter"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/intentstorer"
@@ -78,7 +80,7 @@
 	confirmOnce     sync.Once
 	configMutex     sync.Mutex    // serialises replacement of the configuration
 	refreshRequests chan struct{} // holds at most one request to fetch the configuration
-	draining        atomic.Bool
+	tracker         *requesttracker.Tracker
 	routerCount     atomic.Int64 // known routers that are not draining, including this one
 	failed          context.CancelCauseFunc
 	orphanTasks     sync.WaitGroup
@@ -122,6 +124,7 @@
 		refreshRequests: make(chan struct{}, 1),
 		failed:          func(error) {},
 	}
+	r.tracker = requesttracker.New(requesttracker.Config{Metrics: r.metrics, Log: r.log})
 	r.selector = selector.New(selector.Config{RouterCount: func() int { return int(r.routerCount.Load()) }})
 	r.relayCandidates.Store(&[]relayselector.Candidate{})
 	r.relays = r.newRelayer(config.DialTarget)
@@ -180,9 +183,9 @@
 	r.log.Info("router started", zap.Stringer("process", r.process))
 	select {
 	case <-ctx.Done():
-		r.drain(serving, public)
+		r.drain(serving, public, r.settings.GracePeriod())
 	case <-r.retired:
-		r.drain(serving, public)
+		r.drain(serving, public, 0) // nobody is about to kill the process
 		stop(errors.New("control has retired this router, because it was unresponsive for too long or a newer incarnation exists: restart the process"))
 	case <-serving.Done():
 	}
@@ -208,30 +211,41 @@
 // drain ends the service of the router without interrupting requests, unless the
 // context ends first. It serves for the drain delay, so that the load balancer
 // can notice, waits for open requests, commits their settlements and returns the
-// grants.
-func (r *Router) drain(ctx context.Context, public *listener.Listener) {
-	r.log.Info("draining")
-	r.draining.Store(true)
+// grants. The process is killed after the grace period, unless that is zero.
+func (r *Router) drain(ctx context.Context, public *listener.Listener, grace time.Duration) {
+	plan := shutdownplanner.FromSettings(r.settings.DrainDelay(), grace, time.Now())
+	r.tracker.BeginShutdown(plan)
 	r.announceSelf()
 	select {
-	case <-time.After(r.settings.DrainDelay()):
+	case <-time.After(time.Until(plan.NoticeEndsAt())):
 	case <-ctx.Done():
 		return
 	}
-	if err := public.Shutdown(ctx); err != nil {
-		r.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
-	}
-	r.relays.AwaitUnused(ctx)
+	r.awaitRequests(ctx, plan, public)
 	r.orphanTasks.Wait()
 	if err := r.committer.Flush(ctx); err != nil {
 		r.log.Warn("cannot commit all settlements before the shutdown", recorder.Err(err))
 	}
-	ctx, cancel := context.WithTimeout(ctx, returnGrantsTimeout)
+	ctx, cancel := context.WithDeadline(ctx, plan.ReportUntil(time.Now().Add(returnGrantsTimeout)))
 	defer cancel()
 	if err := r.committer.Deregister(ctx); err != nil {
 		r.log.Warn("cannot return the grants to control", recorder.Err(err))
 	}
-	r.log.Info("drained")
+	r.tracker.LogShutdown(time.Now())
+}
+
+// awaitRequests waits until the requests of callers, and those that this router carries for
+// others, have ended.
+func (r *Router) awaitRequests(ctx context.Context, plan shutdownplanner.Plan, public *listener.Listener) {
+	if plan.Bounded() {
+		bounded, cancel := context.WithDeadline(ctx, plan.FlushedAt())
+		defer cancel()
+		ctx = bounded
+	}
+	if err := public.Shutdown(ctx); err != nil {
+		r.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
+	}
+	r.relays.AwaitUnused(ctx)
 }
 
 const returnGrantsTimeout = 5 * time.Second
