listener: a planned stop reads nothing from a connection that it closes, and waits for the last one

On a busy machine the drainer could be held up between the check that a connection is unused and its close, while the server read and passed on a request from it; and between the accept of the last connection and its entry in the drainer's list, after which Close ended that connection.

Change: check and mark are one step, and reads of a marked connection fail; drain returns only after Accept has.

--- a/internal/listener/drainer.go
+++ b/internal/listener/drainer.go
@@ -38,6 +38,8 @@
 	*net.TCPListener
 	byteCounter *bytecounter.ByteCounter
 	stopping    atomic.Bool
+	// stopped is set once Accept has returned its last connection, and that is tracked.
+	stopped atomic.Bool
 
 	mutex       sync.Mutex
 	connections map[*trackedConnection]bool
@@ -52,6 +54,10 @@
 	net.Conn
 	socket     *net.TCPConn
 	acceptedAt time.Time
+	// closeMutex guards closed and is held while received changes, so that the server never gets
+	// bytes of a connection that was found unused and is about to be closed.
+	closeMutex sync.Mutex
+	closed     bool
 	received   atomic.Int64 // bytes
 	// idleSince is the value of received when the last request ended, or -1 while a
 	// request is handled. It is zero before the first request.
@@ -63,6 +69,11 @@
 // Read implements net.Conn.
 func (c *trackedConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.closeMutex.Lock()
+	defer c.closeMutex.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	c.received.Add(int64(n))
 	return n, err
 }
@@ -72,6 +83,7 @@
 	socket, err := d.AcceptTCP()
 	if err != nil {
 		if d.stopping.Load() {
+			d.stopped.Store(true)
 			return nil, errStopped
 		}
 		return nil, err
@@ -118,13 +130,14 @@
 	}
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for stopAt := time.Now().Add(backlogTime); ; {
+	for {
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "drain connections")
 		case <-ticker.C:
 		}
-		if d.closeUnused(time.Now()) == 0 && time.Now().After(stopAt) {
+		stopped := d.stopped.Load()
+		if d.closeUnused(time.Now()) == 0 && stopped {
 			return nil
 		}
 	}
@@ -136,15 +149,27 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for c := range d.connections {
-		if c.inUse(now) {
+		if !c.closeIfUnused(now) {
 			continue
 		}
-		_ = c.Close() // nothing to do about a failing close
 		delete(d.connections, c)
 	}
 	return len(d.connections)
 }
 
+// closeIfUnused closes the connection unless it is in use, and reports whether it has done so.
+// A request whose bytes arrive in this moment is not read.
+func (c *trackedConnection) closeIfUnused(now time.Time) bool {
+	c.closeMutex.Lock()
+	c.closed = !c.inUse(now)
+	closed := c.closed
+	c.closeMutex.Unlock()
+	if closed {
+		_ = c.Close() // nothing to do about a failing close
+	}
+	return closed
+}
+
 // inUse reports whether a request is handled, is being received, or may be about to
 // arrive on a connection that was just accepted.
 func (c *trackedConnection) inUse(now time.Time) bool {
