--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -262,7 +262,7 @@
 	if q.attempts >= q.route.MaxAttempts() {
 		return false
 	}
-	if !notRun(r.outcome) && !q.repeatable() {
+	if !notRun(r.outcome) && !q.repeatable() || !q.endsInTime() {
 		return false
 	}
 	return q.gateway.retrier.Allow(q.service.Name(), time.Now())
@@ -271,7 +271,7 @@
 // mayResumeElsewhere reports whether a stream that has begun may go on at another target,
 // and if so takes the retry from the budget.
 func (q *request) mayResumeElsewhere() bool {
-	if !q.repeatable() || q.attempts >= q.route.MaxAttempts() {
+	if !q.repeatable() || q.attempts >= q.route.MaxAttempts() || !q.endsInTime() {
 		return false
 	}
 	now := time.Now()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// endsInTime reports whether another attempt can end before the process is killed.
+func (q *request) endsInTime() bool {
+	decision, _ := q.tracked.Decide(time.Now(), q.deadline)
+	_, accepted := decision.(shutdownplanner.Accept)
+	return accepted
+}
+
 // interrupt ends the request before its time, since the process is about to be killed.
 func (q *request) interrupt(end context.CancelFunc) {
 	end()
