shutdownplanner, requesttracker: one way to make a plan, one wait for both kinds of router

Read as a newcomer: New and FromSettings were two constructors, the second with two durations that are easily swapped, and the wait for open requests stood in both routers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,14 +241,16 @@
 // drain serves until the drain notice is over, waits for the open requests, and sends the
 // final report. If it is known when the process is killed, drain returns before that.
 func (g *Gateway) drain(ctx context.Context, public *listener.Listener) {
-	plan := shutdownplanner.FromSettings(g.settings.DrainDelay(), g.settings.GracePeriod(), time.Now())
+	plan := shutdownplanner.New(shutdownplanner.Config{
+		StartedAt: time.Now(), Notice: g.settings.DrainDelay(), Grace: g.settings.GracePeriod(),
+	})
 	g.tracker.BeginShutdown(plan)
 	select {
 	case <-time.After(time.Until(plan.NoticeEndsAt())):
 	case <-ctx.Done():
 		return
 	}
-	g.awaitRequests(ctx, plan, public)
+	g.tracker.AwaitUnused(ctx, public, g.relays)
 	// Borrowers can no longer settle loans once this process has terminated. The zero
 	// process and a time after every expiry charge all loans.
 	g.chargeUnsettledLoans(identifier.Process{}, time.Now().Add(loanLifetime))
@@ -260,20 +262,6 @@
 	g.tracker.LogShutdown(time.Now())
 }
 
-// awaitRequests waits until the requests of callers, and those that this router carries for
-// others, have ended.
-func (g *Gateway) awaitRequests(ctx context.Context, plan shutdownplanner.Plan, public *listener.Listener) {
-	if plan.Bounded() {
-		bounded, cancel := context.WithDeadline(ctx, plan.FlushedAt())
-		defer cancel()
-		ctx = bounded
-	}
-	if err := public.Shutdown(ctx); err != nil {
-		g.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
-	}
-	g.relays.AwaitUnused(ctx)
-}
-
 func (g *Gateway) listen(failed func(error)) (private []*listener.Listener, public *listener.Listener, err error) {
 	links := chi.NewRouter()
 	links.Handle(linker.Path, g.endpoint)
--- a/internal/requesttracker/requesttracker.go
+++ b/internal/requesttracker/requesttracker.go
@@ -3,6 +3,7 @@
 package requesttracker
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/durationestimator"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/shutdownplanner"
 )
 
@@ -158,6 +160,32 @@
 	}
 }
 
+// Listener accepts the connections of callers.
+type Listener interface {
+	// Shutdown accepts no more connections, and waits until all are closed or the context ends.
+	Shutdown(context.Context) error
+}
+
+// Relay carries connections for other routers.
+type Relay interface {
+	// AwaitUnused waits until it carries none, or the context ends.
+	AwaitUnused(context.Context)
+}
+
+// AwaitUnused waits until the requests of callers, and those that are carried for other routers,
+// have ended, or until the plan allows no more responses. The shutdown must have begun.
+func (t *Tracker) AwaitUnused(ctx context.Context, l Listener, relay Relay) {
+	if plan := t.plan.Load(); plan.Bounded() {
+		bounded, cancel := context.WithDeadline(ctx, plan.FlushedAt())
+		defer cancel()
+		ctx = bounded
+	}
+	if err := l.Shutdown(ctx); err != nil {
+		t.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
+	}
+	relay.AwaitUnused(ctx)
+}
+
 // LogShutdown logs what has become of the requests. The shutdown must have begun.
 func (t *Tracker) LogShutdown(now time.Time) {
 	plan := t.plan.Load()
--- a/internal/requesttracker/requesttracker_test.go
+++ b/internal/requesttracker/requesttracker_test.go
@@ -24,7 +24,7 @@
 		t.Error("refused without a shutdown")
 	}
 	const grace = 500 * time.Millisecond
-	tracker.BeginShutdown(shutdownplanner.FromSettings(grace/4, grace, time.Now()))
+	tracker.BeginShutdown(shutdownplanner.New(shutdownplanner.Config{StartedAt: time.Now(), Notice: grace / 4, Grace: grace}))
 	ended.Remove()
 	refused := tracker.Add(func() { t.Error("ended a request that was refused") })
 	refused.Describe(durationestimator.NewRequest("route", 0))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -213,7 +213,7 @@
 // can notice, waits for open requests, commits their settlements and returns the
 // grants. The process is killed after the grace period, unless that is zero.
 func (r *Router) drain(ctx context.Context, public *listener.Listener, grace time.Duration) {
-	plan := shutdownplanner.FromSettings(r.settings.DrainDelay(), grace, time.Now())
+	plan := shutdownplanner.New(shutdownplanner.Config{StartedAt: time.Now(), Notice: r.settings.DrainDelay(), Grace: grace})
 	r.tracker.BeginShutdown(plan)
 	r.announceSelf()
 	select {
@@ -221,7 +221,7 @@
 	case <-ctx.Done():
 		return
 	}
-	r.awaitRequests(ctx, plan, public)
+	r.tracker.AwaitUnused(ctx, public, r.relays)
 	r.orphanTasks.Wait()
 	if err := r.committer.Flush(ctx); err != nil {
 		r.log.Warn("cannot commit all settlements before the shutdown", recorder.Err(err))
@@ -234,20 +234,6 @@
 	r.tracker.LogShutdown(time.Now())
 }
 
-// awaitRequests waits until the requests of callers, and those that this router carries for
-// others, have ended.
-func (r *Router) awaitRequests(ctx context.Context, plan shutdownplanner.Plan, public *listener.Listener) {
-	if plan.Bounded() {
-		bounded, cancel := context.WithDeadline(ctx, plan.FlushedAt())
-		defer cancel()
-		ctx = bounded
-	}
-	if err := public.Shutdown(ctx); err != nil {
-		r.log.Warn("open requests interrupted by the shutdown", recorder.Err(err))
-	}
-	r.relays.AwaitUnused(ctx)
-}
-
 const returnGrantsTimeout = 5 * time.Second
 
 func (r *Router) listen(fail func(error)) (public *listener.Listener, private []*listener.Listener, err error) {
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -41,7 +41,7 @@
 				}
 			}
 			runs = 0
-			r.tracker.BeginShutdown(shutdownplanner.FromSettings(test.notice, test.grace, time.Now()))
+			r.tracker.BeginShutdown(shutdownplanner.New(shutdownplanner.Config{StartedAt: time.Now(), Notice: test.notice, Grace: test.grace}))
 			request, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(chatBody))
 			if err != nil {
 				t.Fatal(err)
--- a/internal/shutdownplanner/replay_test.go
+++ b/internal/shutdownplanner/replay_test.go
@@ -61,7 +61,7 @@
 
 func (r *replay) stop() {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	plan := shutdownplanner.FromSettings(time.Duration(noticeShare*float64(r.grace)), r.grace, start)
+	plan := shutdownplanner.New(shutdownplanner.Config{StartedAt: start, Notice: time.Duration(noticeShare * float64(r.grace)), Grace: r.grace})
 	durations := durationestimator.New()
 	for range replayCallers {
 		// The runs before the stop; the last of them is under way at SIGTERM.
--- a/internal/shutdownplanner/shutdownplanner.go
+++ b/internal/shutdownplanner/shutdownplanner.go
@@ -24,12 +24,13 @@
 
 // Config configures a plan.
 type Config struct {
-	// StartedAt is when the shutdown began. Required.
+	// StartedAt is when the shutdown begins. Required.
 	StartedAt time.Time
-	// NoticeEndsAt is when the load balancer is expected to send no new connections. Required.
-	NoticeEndsAt time.Time
-	// KilledAt is when the platform kills the process, or zero if that is not known.
-	KilledAt time.Time
+	// Notice is how long the load balancer may still send new connections.
+	Notice time.Duration
+	// Grace is how long after StartedAt the platform kills the process, or zero if that is not
+	// known.
+	Grace time.Duration
 }
 
 // Plan holds the deadlines of a shutdown.
@@ -44,17 +45,13 @@
 
 // New returns the plan of a shutdown.
 func New(c Config) Plan {
-	if c.KilledAt.IsZero() {
-		return Plan{startedAt: c.StartedAt, noticeEndsAt: c.NoticeEndsAt}
-	}
-	grace := c.KilledAt.Sub(c.StartedAt)
-	reserve := min(time.Duration(reserveShare*float64(grace)), maxReserve)
-	p := Plan{
-		startedAt:    c.StartedAt,
-		noticeEndsAt: c.NoticeEndsAt,
-		killedAt:     c.KilledAt,
-		cutAt:        c.KilledAt.Add(-reserve),
+	p := Plan{startedAt: c.StartedAt, noticeEndsAt: c.StartedAt.Add(c.Notice)}
+	if c.Grace == 0 {
+		return p
 	}
+	reserve := min(time.Duration(reserveShare*float64(c.Grace)), maxReserve)
+	p.killedAt = c.StartedAt.Add(c.Grace)
+	p.cutAt = p.killedAt.Add(-reserve)
 	p.flushedAt = p.cutAt.Add(time.Duration(flushShare * float64(reserve)))
 	p.exitAt = p.cutAt.Add(time.Duration(reportShare * float64(reserve)))
 	if p.noticeEndsAt.After(p.cutAt) {
@@ -63,16 +60,6 @@
 	return p
 }
 
-// FromSettings returns the plan of a shutdown that begins now. The grace period is zero if it is
-// not known.
-func FromSettings(notice, grace time.Duration, now time.Time) Plan {
-	c := Config{StartedAt: now, NoticeEndsAt: now.Add(notice)}
-	if grace > 0 {
-		c.KilledAt = now.Add(grace)
-	}
-	return New(c)
-}
-
 // StartedAt returns when the shutdown began.
 func (p Plan) StartedAt() time.Time { return p.startedAt }
 
--- a/internal/shutdownplanner/shutdownplanner_test.go
+++ b/internal/shutdownplanner/shutdownplanner_test.go
@@ -30,7 +30,7 @@
 		{"grace period unknown, in the notice", 0, 2.5, 2.4, 15, 60, true},
 		{"grace period unknown, after the notice", 0, 2.5, 2.5, 15, 0.01, false},
 	} {
-		plan := FromSettings(seconds(test.notice), seconds(test.grace), start)
+		plan := New(Config{StartedAt: start, Notice: seconds(test.notice), Grace: seconds(test.grace)})
 		decision := plan.Decide(Request{
 			Now: start.Add(seconds(test.arrives)), Deadline: start.Add(seconds(test.deadline)), LongestRun: seconds(test.longestRun),
 		})
@@ -47,7 +47,7 @@
 	for _, grace := range []float64{2, 4, 8, 15, 30, 60} {
 		for _, run := range []float64{0.1, 0.5, 1, 3, 6, 10, 30, 60} {
 			t.Run(fmt.Sprintf("grace %v run %v", grace, run), func(t *testing.T) {
-				plan := FromSettings(seconds(grace*0.3), seconds(grace), start)
+				plan := New(Config{StartedAt: start, Notice: seconds(grace * 0.3), Grace: seconds(grace)})
 				taken := 0
 				for arrives := 0.0; arrives < grace; arrives += 0.05 {
 					now := start.Add(seconds(arrives))
@@ -72,7 +72,7 @@
 
 func TestDeadlinesAreInOrder(t *testing.T) {
 	for _, grace := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 8 * time.Second, 10 * time.Minute} {
-		plan := FromSettings(grace/3, grace, start)
+		plan := New(Config{StartedAt: start, Notice: grace / 3, Grace: grace})
 		report := plan.ReportUntil(start.Add(time.Hour))
 		order := []time.Time{start, plan.NoticeEndsAt(), plan.CutAt(), plan.FlushedAt(), report, plan.KilledAt()}
 		for i, at := range order[1:] {
@@ -84,7 +84,7 @@
 			t.Errorf("grace %s: reserve %s", grace, reserve)
 		}
 	}
-	if early := start.Add(time.Millisecond); !FromSettings(time.Second, 8*time.Second, start).ReportUntil(early).Equal(early) {
+	if early := start.Add(time.Millisecond); !New(Config{StartedAt: start, Notice: time.Second, Grace: 8 * time.Second}).ReportUntil(early).Equal(early) {
 		t.Error("the report may last longer than its own limit")
 	}
 }
