--- a/internal/requesttracker/requesttracker.go
+++ b/internal/requesttracker/requesttracker.go
@@ -58,8 +58,8 @@
 type Request struct {
 	tracker *Tracker
 	end     func()
-	cut     atomic.Bool
-	refused atomic.Bool
+	cut     atomic.Bool // set by the tracker; the other fields belong to the request's goroutine
+	refused bool
 
 	run         *durationestimator.Run // nil until BeginRun
 	description durationestimator.Request
@@ -102,7 +102,7 @@
 }
 
 // SetRefused records that the request is refused since the router shuts down.
-func (r *Request) SetRefused() { r.refused.Store(true) }
+func (r *Request) SetRefused() { r.refused = true }
 
 // Cut reports whether the request was ended since the router shuts down.
 func (r *Request) Cut() bool { return r.cut.Load() }
@@ -118,7 +118,7 @@
 	t.mutex.Unlock()
 	switch {
 	case !t.ShuttingDown():
-	case r.refused.Load():
+	case r.refused:
 		t.refused.Inc(1)
 	case r.cut.Load():
 		t.cut.Inc(1)
