--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
-	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/verdictsharer"
@@ -63,14 +62,13 @@
 	return newRefusal(http.StatusServiceUnavailable, "quarantined", v.ExpiresAt().Sub(now), verdictsharer.Fields(v, now)...)
 }
 
-// recordAnswered records that the target has begun to answer the request, or has answered
-// it: the target did not end under it.
-func (q *request) recordAnswered(p *placer.Placement) {
-	now := time.Now()
-	if q.gateway.quarantiner.Watching() && p.AwaitsFirstEvent() {
-		q.gateway.verdicts.RecordAnswered(q.identity(), q.sentAt, now)
+// recordAnswered records that the target has begun to answer the request with success, or
+// has answered it: the target did not end under it. A failure says nothing, since the target
+// may not have come to the part under which it ends.
+func (q *request) recordAnswered() {
+	if q.gateway.quarantiner.Watching() {
+		q.gateway.verdicts.RecordAnswered(q.identity(), q.sentAt, time.Now())
 	}
-	p.RecordFirstEvent(now)
 }
 
 // recordCrash records that a target has ended while it had a request of this router, and
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -41,7 +41,10 @@
 	if err != nil {
 		return q.interruptedResult(ctx, err)
 	}
-	q.recordAnswered(p)
+	p.RecordFirstEvent(time.Now())
+	if success {
+		q.recordAnswered()
+	}
 	failed := response.Status() >= http.StatusInternalServerError
 	r := result{outcome: placer.Served{}, status: response.Status()}
 	if failed {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -47,7 +48,10 @@
 
 // recordProgress records an event that is about to be sent to the caller.
 func (q *request) recordProgress(event eventreader.Event, p *placer.Placement, stall *stallDetector) {
-	q.recordAnswered(p)
+	if p.AwaitsFirstEvent() {
+		q.recordAnswered()
+		p.RecordFirstEvent(time.Now())
+	}
 	stall.recordProgress()
 	q.recordPath()
 	if id := event.ID(); id != "" {
