gateway: a target may end right after its first event because of the request (BUDGET)

Cause: the first event counted as the answer. It lifted the bar, and the end of the target was not investigated. Change: a stream clears its request once it has gone on for half a second or has ended, which is less than the time for which a subject is suspected before it is barred; an end before that is investigated.

--- a/internal/gateway/investigation.go
+++ b/internal/gateway/investigation.go
@@ -24,8 +24,8 @@
 	crash     quarantiner.CrashConfig
 }
 
-// investigate starts an investigation of an attempt that ended before anything of the
-// response had arrived.
+// investigate starts an investigation of an attempt that ended before its response or soon
+// after the first event of it.
 func (q *request) investigate(target selector.Announcement) {
 	g := q.gateway
 	select {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,6 +17,10 @@
 
 const (
 	quarantineInterval = 200 * time.Millisecond
+	// answerObservation is how long after its first event a target may still end because of
+	// the request: the event may leave the target before it ends. It is shorter than the time
+	// for which a subject is suspected before it is barred.
+	answerObservation = 500 * time.Millisecond
 	// maxRepeatedCrashes limits the evidence that a control VM receives over a new link.
 	maxRepeatedCrashes = 64
 )
@@ -62,13 +66,21 @@
 	return newRefusal(http.StatusServiceUnavailable, "quarantined", v.ExpiresAt().Sub(now), verdictsharer.Fields(v, now)...)
 }
 
-// recordAnswered records that the target has begun to answer the request with success, or
-// has answered it: the target did not end under it. A failure says nothing, since the target
-// may not have come to the part under which it ends.
+// recordAnswered records that the target has answered the request with success, or has
+// survived the beginning of its answer: it did not end under it. A failure says nothing, since
+// the target may not have come to the part under which it ends.
 func (q *request) recordAnswered() {
-	if q.gateway.quarantiner.Watching() {
-		q.gateway.verdicts.RecordAnswered(q.identity(), q.sentAt, time.Now())
+	if q.answered || !q.gateway.quarantiner.Watching() {
+		return
 	}
+	q.answered = true
+	q.gateway.verdicts.RecordAnswered(q.identity(), q.sentAt, time.Now())
+}
+
+// hasSurvivedAnswer reports whether the target has sent events for so long that an end of it
+// has another cause than this request.
+func (q *request) hasSurvivedAnswer(now time.Time) bool {
+	return !q.firstEventAt.IsZero() && now.Sub(q.firstEventAt) >= answerObservation
 }
 
 // recordCrash records that a target has ended while it had a request of this router, and
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,8 @@
 	mayHaveRun      bool      // whether a target may have run the request
 	attempts        int       // number of targets that the request was sent to
 	sentAt          time.Time // when the last attempt began
+	firstEventAt    time.Time // when the first event of the last attempt arrived, or zero
+	answered        bool      // whether the last attempt is known to have been answered
 	excluded        []string
 	responseStarted bool // whether the response to the caller has begun
 	deliveredTokens int64
@@ -246,9 +248,9 @@
 // call releases the target if the attempt panics to abort the response.
 func (q *request) runAttempt(ctx context.Context, p *placer.Placement) result {
 	defer func() { p.Finish(placer.Abandoned{}, time.Now()) }()
-	q.sentAt = time.Now()
+	q.sentAt, q.firstEventAt, q.answered = time.Now(), time.Time{}, false
 	r := q.attempt(ctx, p)
-	if r.interrupted && p.AwaitsFirstEvent() {
+	if r.interrupted && !q.hasSurvivedAnswer(time.Now()) {
 		q.investigate(p.Target())
 	}
 	p.Finish(r.outcome, time.Now())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			q.recordAnswered()
 			q.startStream(response)
 			q.recordServed(response.Status())
 			return result{outcome: placer.Served{}, responded: true, status: response.Status()}
@@ -48,9 +49,13 @@
 
 // recordProgress records an event that is about to be sent to the caller.
 func (q *request) recordProgress(event eventreader.Event, p *placer.Placement, stall *stallDetector) {
-	if p.AwaitsFirstEvent() {
+	now := time.Now()
+	p.RecordFirstEvent(now)
+	if q.firstEventAt.IsZero() {
+		q.firstEventAt = now
+	}
+	if q.hasSurvivedAnswer(now) {
 		q.recordAnswered()
-		p.RecordFirstEvent(time.Now())
 	}
 	stall.recordProgress()
 	q.recordPath()
--- a/internal/quarantiner/crash.go
+++ b/internal/quarantiner/crash.go
@@ -18,7 +18,7 @@
 }
 
 // Crash is the observation that a target ended while it had a request and before it had
-// sent anything of the response. Several requests may be observed for one end: at most one
+// sent the response, or more than the beginning of it. Several requests may be observed for one end: at most one
 // of them is its cause, and possibly none.
 type Crash struct{ config CrashConfig }
 
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -6,8 +6,8 @@
 // of which no two are alike. Without a common memory they end one target after another, as
 // fast as they return, and all other requests of the service fail.
 //
-// Evidence are ends of targets, each with the requests that a target had and had not begun
-// to answer (Crash). Most of these requests are sound and were at the target by chance. A
+// Evidence are ends of targets, each with the requests that a target had and had not answered,
+// or had only just begun to answer (Crash). Most of these requests are sound and were at the target by chance. A
 // subject (a whole request, or a set of segments) is barred when maxEnds targets have ended
 // under it, independently of each other, and no request that it covers was answered in
 // between. An answered request lifts the suspicion, so that a request that many callers send
