--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -150,7 +150,14 @@
 // Length returns the length of the body, or -1 if it is not known.
 func (r *Response) Length() int64 { return r.response.ContentLength }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Framed reports whether the response has a length or chunks. The body of another response ends
+// with its connection.
+func (r *Response) Framed() bool {
+	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
+}
+
+// Read reads the body. It returns io.EOF only if the body is complete. The end of a body that is
+// not framed is also that of its connection.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,10 @@
 	"radishshed.example/radishshed/internal/placer"
 )
 
+// errNoEvent means that a stream that ends with its connection has ended before its first
+// event. The connections of a process that has ended are closed in the same way.
+var errNoEvent = errors.New("the connection ended before the first event of the stream")
+
 // relayStream relays the events of a stream, each once it has arrived completely.
 func (q *request) relayStream(ctx context.Context, p *placer.Placement, response *exchanger.Response, metadata ResponseMetadata, stall *stallDetector) result {
 	if !metadata.Signed() {
@@ -22,6 +26,9 @@
 	flusher := http.NewResponseController(q.writer)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && q.firstEventAt.IsZero() && !response.Framed() {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			q.recordAnswered()
 			q.startStream(response)
