--- a/internal/gateway/investigation.go
+++ b/internal/gateway/investigation.go
@@ -15,6 +15,10 @@
 // at once, what one more request has met tells nothing new.
 const maxInvestigations = 64
 
+// probeDelays are the pauses before each look at whether a target has ended. The connections of a
+// process may end some time before its listener, for example while a core file is written.
+var probeDelays = []time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond}
+
 // investigation finds out whether a target has ended while it had a request. A response
 // that breaks off does not tell: connections are also reset on the way.
 type investigation struct {
@@ -46,7 +50,7 @@
 
 func (i investigation) run(ctx context.Context) {
 	defer func() { <-i.gateway.investigations }()
-	ended := i.gateway.relays.Refuses(ctx, i.address)
+	ended := i.targetEnded(ctx)
 	i.gateway.log.Info("target broke off a request before its response", zap.Bool("targetEnded", ended),
 		zap.String("request", i.requestID), zap.Stringer("fingerprint", i.crash.Request.Fingerprint()), zap.String("target", i.crash.Target),
 		zap.Duration("ran", i.crash.EndedAt.Sub(i.crash.StartedAt)), zap.Duration("age", time.Since(i.crash.EndedAt)))
@@ -54,3 +58,14 @@
 		i.gateway.recordCrash(quarantiner.NewCrash(i.crash))
 	}
 }
+
+// targetEnded reports whether the target refuses connections at one of several looks.
+func (i investigation) targetEnded(ctx context.Context) bool {
+	for _, delay := range probeDelays {
+		time.Sleep(delay)
+		if i.gateway.relays.Refuses(ctx, i.address) {
+			return true
+		}
+	}
+	return false
+}
