--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrWithdrawn means that no byte of the request was sent since it had been withdrawn.
+	ErrWithdrawn = errors.New("the request was withdrawn")
 	// ErrNoResponse means that the request may have run and that its response will not
 	// arrive.
 	ErrNoResponse = errors.New("no response to the request")
@@ -57,6 +59,9 @@
 	// Header returns the other header fields, without hop-by-hop fields. It is called once the
 	// connection is open, which takes part of the time that the request has. Required.
 	Header func() http.Header
+	// Withdrawn, if set, is called right before the first byte is sent, once the connection is
+	// open. If it returns true, nothing is sent and Send returns ErrWithdrawn.
+	Withdrawn func() bool
 	// Body is the complete body.
 	Body []byte
 	// NewConnection prevents the reuse of an idle connection, which may be broken
@@ -194,6 +199,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%s: %v", r.Address, err)
 	}
+	if r.Withdrawn != nil && r.Withdrawn() {
+		e.release(c)
+		return nil, errors.Wrap(ErrWithdrawn, r.Address)
+	}
 	e.waiting(1)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks pending reads and writes
 	w := &writer{connection: c, data: r.encode(), done: make(chan error, 1)}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,8 +23,10 @@
 	// interrupted is whether the target was sent the request and did not send a whole
 	// response, for a reason other than the deadline or the caller.
 	interrupted bool
-	err         error
-	status      int
+	// withdrawn is whether nothing was sent since targets were found to end under such requests.
+	withdrawn bool
+	err       error
+	status    int
 }
 
 // refusal returns the refusal that tells the caller why the last attempt failed.
@@ -57,6 +59,9 @@
 	stall := &stallDetector{timeout: stallTimeout(q.route), mayResume: q.mayResumeElsewhere, end: endAttempt}
 	defer stall.stop()
 	response, err := g.exchanger.Send(attemptCtx, targetRequest)
+	if errors.Is(err, exchanger.ErrWithdrawn) {
+		return result{outcome: placer.Abandoned{}, withdrawn: true, err: err}
+	}
 	if errors.Is(err, exchanger.ErrNotSent) {
 		if ctx.Err() != nil {
 			return result{outcome: placer.Abandoned{}, err: err}
@@ -106,6 +111,7 @@
 				TimeLeft: max(0, time.Until(q.deadline)), Priority: q.priority, LastEventID: q.resumeEventID(),
 			}))
 		},
+		Withdrawn:     func() bool { return q.quarantineRefusal() != nil },
 		Body:          q.body,
 		NewConnection: !q.repeatable(),
 		MatchesResponse: func(status int, h http.Header) bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -227,6 +227,9 @@
 			q.giveUp(q.timeoutRefusal())
 			return
 		}
+		if result.withdrawn {
+			continue // the refusal is that of the next round
+		}
 		if _, ok := result.outcome.(placer.Unreachable); ok {
 			unreachable++
 			if unreachable < maxUnreachable {
