--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -83,6 +83,8 @@
 	// SoftwareVersion, if not nil, is the only version of a target's software that may be
 	// chosen.
 	SoftwareVersion *string
+	// Allows, if set, reports whether targets of a data centre may be chosen.
+	Allows func(dataCentre string) bool
 	// Exclude names targets that must not be chosen.
 	Exclude []string
 	// IgnoreLeases makes targets usable even if their leases have expired. It
@@ -342,6 +344,9 @@
 	if r.SoftwareVersion != nil && *r.SoftwareVersion != t.announcement.SoftwareVersion() {
 		return false
 	}
+	if r.Allows != nil && !r.Allows(t.announcement.DataCentre()) {
+		return false
+	}
 	return !slices.Contains(r.Exclude, t.announcement.Name())
 }
 
