placer: a prompt that is late by its size alone is served by idle engines

Cause: such a request was refused with a time to come back, though no later attempt is sooner. Change: it is let in where it would hardly wait (a tenth of the objective), unless its caller would have given up by then.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -60,6 +60,7 @@
 	r.Segments = q.metadata.config.Segments
 	r.FirstEventObjective = q.route.FirstEventObjective()
 	r.MaxFirstEvent = q.maxFirstEvent()
+	r.Patience = stallTimeout(q.route)
 	return q.gateway.placer.Choose(r)
 }
 
--- a/internal/placer/overload.go
+++ b/internal/placer/overload.go
@@ -34,12 +34,17 @@
 const admissionShare = 1.1
 
 // checkOverload returns an error if the request must be refused because its first event is
-// expected too late on the best target.
-func (r Request) checkOverload(expected time.Duration) error {
+// expected too late on the best target, where it would come after the given idle time if the
+// target were idle. Coming back later gains nothing for a prompt that is late by its size alone:
+// it is let in where it hardly waits, unless its caller would have given up.
+func (r Request) checkOverload(expected, idle time.Duration) error {
 	if r.MaxFirstEvent <= 0 {
 		return nil
 	}
 	limit := time.Duration(admissionShare * float64(r.MaxFirstEvent))
+	if idle > limit && (r.Patience <= 0 || idle < r.Patience) {
+		limit = idle + limit - r.MaxFirstEvent
+	}
 	if expected <= limit {
 		return nil
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -78,8 +78,11 @@
 	TokensPerEvent int64
 	MaxEventGap    time.Duration
 	// MaxFirstEvent, if positive, makes Choose return an OverloadError if even the best target
-	// would send the first event later than admissionShare of it.
+	// would send the first event later than admissionShare of it. A prompt that takes longer
+	// than that on an idle target is refused only if it would have to wait in addition.
 	MaxFirstEvent time.Duration
+	// Patience, if positive, is how long the caller waits for the first event.
+	Patience time.Duration
 	// SoftwareVersion, if not nil, is the only version of a target's software that may be
 	// chosen.
 	SoftwareVersion *string
@@ -258,8 +261,9 @@
 	uncached := r.promptTokens() - cached
 	reference := referencePrefillTime(cached, uncached)
 	prefill := r.actualTime(reference)
-	expected := t.certainWait(r.Now) + speed.Overhead() + prefill
-	if err := r.checkOverload(expected); err != nil {
+	idle := speed.Overhead() + prefill
+	expected := t.certainWait(r.Now) + idle
+	if err := r.checkOverload(expected, idle); err != nil {
 		return nil, err
 	}
 	placement := &Placement{
