gateway: token counts that overflow or cannot be read are refused with 400

Callers saw nothing; an organisation's budget could be passed by one request: 2^62 prompt tokens and 2^62 + 2^61 output tokens add up to a negative number, which every grant covers, and a malformed header counted as no tokens at all. Change: a count is a whole number from 0 to 2^40, checked where bytes become numbers, so that sums cannot overflow; anything else is answered with 400, which names the header.

--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -26,6 +26,10 @@
 	ResponseHeader(target http.Header) http.Header
 }
 
+// MaxTokenCount is the largest number of tokens that a request may state. Sums of such numbers
+// do not overflow.
+const MaxTokenCount = 1 << 40
+
 // RequestMetadataConfig holds the fields of a RequestMetadata.
 type RequestMetadataConfig struct {
 	// ID identifies the caller's attempt. It stays the same when the gateway sends the
@@ -38,8 +42,10 @@
 	// Segments are the segments of the prompt, in order.
 	Segments []placer.Segment
 	// PromptTokens and MaxOutputTokens are the size of the prompt and the limit on
-	// the output of a model request.
+	// the output of a model request, each at most MaxTokenCount.
 	PromptTokens, MaxOutputTokens int64
+	// Malformed, if set, names a part of the request that cannot be accepted.
+	Malformed string
 	// LastEventID identifies the last event that the caller has received of an
 	// interrupted stream.
 	LastEventID string
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -136,6 +136,9 @@
 		q.organisation = organisation.Name()
 		q.priority = organisation.Priority(q.route)
 	}
+	if field := q.metadata.config.Malformed; field != "" {
+		return newRefusal(http.StatusBadRequest, "malformed "+field, 0)
+	}
 	q.service, ok = q.catalogue.Service(q.route.PickService(rand.Int64N))
 	if !ok {
 		return newRefusal(http.StatusServiceUnavailable, "noService", startingRetryAfter)
