--- a/internal/shutdownplanner/shutdownplanner.go
+++ b/internal/shutdownplanner/shutdownplanner.go
@@ -19,7 +19,7 @@
 	// flushShare and reportShare are the parts of the reserve after which the last responses
 	// must have been sent, and after which the process must exit.
 	flushShare  = 1.0 / 3
-	reportShare = 3.0 / 4
+	reportShare = 1.0 / 2
 )
 
 // Config configures a plan.
