--- a/pkg/state/applier/applier.go
+++ b/pkg/state/applier/applier.go
@@ -1,6 +1,6 @@
 // Package applier implements the state machine behind the replicated log. It
-// applies commands to the archive of tickets, the ledgers, the table of claims
-// and the routing catalogue.
+// applies commands to the archive of tickets, the ledgers, the table of claims,
+// the routing catalogue and the set of evacuated data centres.
 //
 // The state machine is deterministic: the same commands in the same order lead
 // to the same state on every control VM. Each command carries its time. The
@@ -18,6 +18,7 @@
 	"radishshed.example/radishshed/pkg/state/bookkeeper"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
 	"radishshed.example/radishshed/pkg/state/escrower"
+	"radishshed.example/radishshed/pkg/state/evacuator"
 	"radishshed.example/radishshed/pkg/state/pricer"
 )
 
@@ -39,6 +40,8 @@
 
 	catalogue cataloguer.Record
 	escrow    *escrower.Ledger
+
+	evacuations evacuator.Set
 }
 
 // New returns the initial state, before any command.
@@ -85,6 +88,8 @@
 	case ReportSpending:
 		response, err := s.escrow.Apply(c.report, at)
 		return SpendingResult{response, err}
+	case Evacuate:
+		return s.evacuate(c.order)
 	default:
 		panic(fmt.Sprintf("applier: unknown command %T", command))
 	}
--- a/pkg/state/applier/codec.go
+++ b/pkg/state/applier/codec.go
@@ -122,6 +122,8 @@
 			return nil, err
 		}
 		w.Spending = report
+	case Evacuate:
+		return encodeEvacuation(c, at)
 	default:
 		return nil, errors.Errorf("applier: unknown command %T", command)
 	}
@@ -132,6 +134,9 @@
 func DecodeCommand(data []byte) (Command, time.Time, error) {
 	var w wireCommand
 	if err := encoder.Unmarshal(data, &w); err != nil {
+		if command, at, evacuationErr := decodeEvacuation(data); evacuationErr == nil {
+			return command, at, nil
+		}
 		return nil, time.Time{}, err
 	}
 	at := time.UnixMilli(w.AtMillis).UTC()
@@ -241,7 +246,7 @@
 	if w.Escrow, err = s.escrow.Snapshot(); err != nil {
 		return nil, err
 	}
-	return encoder.Marshal(w)
+	return encodeState(w, s.evacuations)
 }
 
 // Restore returns the state that a snapshot contains. An empty snapshot stands
@@ -251,10 +256,11 @@
 	if len(data) == 0 {
 		return s, nil
 	}
-	var w wireState
-	if err := encoder.Unmarshal(data, &w); err != nil {
+	w, evacuations, err := decodeState(data)
+	if err != nil {
 		return nil, err
 	}
+	s.evacuations = evacuations
 	s.now = time.UnixMilli(w.NowMillis).UTC()
 	for _, encoded := range w.Tickets {
 		ticket, err := archiver.Decode(encoded)
@@ -263,7 +269,6 @@
 		}
 		s.archive.Submit(ticket)
 	}
-	var err error
 	if s.ledger, err = bookkeeper.Restore(config.Ledger, w.Ledger); err != nil {
 		return nil, err
 	}
--- a/pkg/state/applier/command.go
+++ b/pkg/state/applier/command.go
@@ -9,8 +9,8 @@
 )
 
 // Command changes the state. It is sealed: SubmitTicket,
-// BeginLowering, CancelLowering, Retire, Batch, SubmitCatalogue and
-// ReportSpending are its only variants.
+// BeginLowering, CancelLowering, Retire, Batch, SubmitCatalogue,
+// ReportSpending and Evacuate are its only variants.
 type Command interface{ isCommand() }
 
 // SubmitTicket submits a ticket, which comes into force if it is accepted.
@@ -224,7 +224,8 @@
 func (r BatchResult) Grants() []bookkeeper.Grant { return r.grants }
 
 // Result is the outcome of a command. It is sealed: TicketResult, BatchResult,
-// CatalogueResult, SpendingResult and Done are its only variants.
+// CatalogueResult, SpendingResult, EvacuationResult and Done are its only
+// variants.
 type Result interface{ isResult() }
 
 // TicketResult is the outcome of SubmitTicket.
