--- a/internal/commandrunner/commandrunner.go
+++ b/internal/commandrunner/commandrunner.go
@@ -86,6 +86,7 @@
 		{"account", "show the account of an organisation", "Lists every charge of an organisation with the request that caused it, and the sum of all charges.", &accountCommand{command: base}},
 		{"status", "show every process of the fleet", "Queries the state of every process in the fleet file.", &statusCommand{command: base}},
 		{"timeline", "show the events of all processes in order", "Merges the recent events of all processes in the fleet file, in an order that is consistent with the order in which messages were sent and received.", &timelineCommand{command: base}},
+		{"evacuate", "evacuate a data centre", "Orders that nothing more is sent to the targets of a data centre, or with --finish that they get requests again. Prints the evacuated data centres afterwards. The order can be repeated.", &evacuateCommand{command: base}},
 		{"load", "send a mix of requests and measure the responses", "Sends the requests that a mix file describes to routers on this machine, checks every response and reports counts and latencies.", &loadCommand{command: base}},
 	}
 	for _, e := range specs {
--- a/internal/commandrunner/operators.go
+++ b/internal/commandrunner/operators.go
@@ -262,6 +262,7 @@
 		Learners   []string `json:"learners"`
 		Peers      []string `json:"peers"`
 		Entries    []string `json:"entries"`
+		Evacuated  []string `json:"evacuated"`
 	}
 	if c.JSON || json.Unmarshal(body, &w) != nil {
 		c.print("%s", body)
@@ -274,6 +275,9 @@
 	if len(w.Learners) > 0 {
 		c.print(", learners %s", strings.Join(w.Learners, " "))
 	}
+	if len(w.Evacuated) > 0 {
+		c.print(", evacuated %s", strings.Join(w.Evacuated, " "))
+	}
 	c.print("\n")
 }
 
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -157,6 +157,7 @@
 	s := Settings{
 		vm:                 w.VM,
 		dataCentre:         w.DataCentre,
+		dataCentres:        w.DataCentres,
 		linkAddress:        w.LinkAddress,
 		advertisedAddress:  w.LinkAddress,
 		operatorAddress:    w.OperatorAddress,
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -11,6 +11,7 @@
 type Settings struct {
 	vm                   string
 	dataCentre           string
+	dataCentres          []string
 	linkAddress          string
 	advertisedAddress    string
 	operatorAddress      string
@@ -86,6 +87,9 @@
 // DataCentre returns the data centre that this VM is in.
 func (s Settings) DataCentre() string { return s.dataCentre }
 
+// DataCentres returns all data centres of the fleet.
+func (s Settings) DataCentres() []string { return s.dataCentres }
+
 // LinkAddress returns the address at which links from other processes are accepted.
 func (s Settings) LinkAddress() string { return s.linkAddress }
 
--- a/internal/controller/catalogue.go
+++ b/internal/controller/catalogue.go
@@ -77,6 +77,8 @@
 	switch kind {
 	case messenger.CatalogueSubmission:
 		return c.handleSubmission(ctx, body)
+	case messenger.EvacuationOrder:
+		return c.handleEvacuationOrder(ctx, body)
 	case messenger.ConfirmedCatalogueRequest:
 		var record cataloguer.Record
 		if err := c.query(ctx, true, func(s *applier.State) { record = s.Catalogue() }); err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,7 @@
 	"radishshed.example/radishshed/pkg/state/applier"
 	"radishshed.example/radishshed/pkg/state/archiver"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/state/evacuator"
 	"radishshed.example/radishshed/pkg/state/journaler"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
@@ -75,6 +76,7 @@
 	startedAt     uint64 // Unix time in nanoseconds
 	configuration atomic.Pointer[archiver.Configuration]
 	catalogue     atomic.Pointer[cataloguer.Record]
+	evacuations   atomic.Pointer[evacuator.Set]
 	addresses     atomic.Pointer[[]string] // of control VMs, from the settings
 	status        atomic.Pointer[status]
 	stopping      atomic.Bool
@@ -121,6 +123,7 @@
 	c.status.Store(&status{})
 	c.configuration.Store(&archiver.Configuration{})
 	c.catalogue.Store(&cataloguer.Record{})
+	c.evacuations.Store(&evacuator.Set{})
 	c.Reload(config.Settings)
 	if err := c.openEndpoint(); err != nil {
 		return nil, err
@@ -178,7 +181,7 @@
 		send:         c.sendReplicate,
 		onApplied:    c.applied,
 		onStatus:     func(s status) { c.status.Store(&s) },
-		onUpToDate:   func(s *applier.State) { c.publishCatalogue(s.Catalogue()) },
+		onUpToDate:   c.publishState,
 		inputs:       inputs,
 		proposals:    map[uint64]pendingProposal{},
 		queries:      map[uint64]queryInput{},
@@ -325,6 +328,13 @@
 	}
 }
 
+// publishState publishes what routers need to know of a state that is known to be current.
+// The evacuations precede the catalogue (see handleCatalogueRequest).
+func (c *Controller) publishState(state *applier.State) {
+	c.publishEvacuations(state.Evacuations())
+	c.publishCatalogue(state.Catalogue())
+}
+
 // publishConfiguration makes the current configuration of the state visible to
 // other goroutines.
 func (c *Controller) publishConfiguration(state *applier.State) {
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -23,6 +23,7 @@
 	c.disseminator.AddLink(updatesLink{p})
 	if p.Identity().Role() == linker.Router {
 		c.notifyConfigurationNumber(p)
+		c.notifyEvacuationsTo(p)
 		c.notifyCatalogue(p)
 	}
 }
@@ -53,8 +54,8 @@
 	case messenger.ConfigurationRequest:
 		return c.handleConfigurationRequest(ctx)
 	case messenger.CatalogueRequest:
-		return messenger.EncodeCatalogue(*c.catalogue.Load())
-	case messenger.CatalogueSubmission, messenger.ConfirmedCatalogueRequest, messenger.SpendingReport:
+		return c.handleCatalogueRequest(from)
+	case messenger.CatalogueSubmission, messenger.ConfirmedCatalogueRequest, messenger.SpendingReport, messenger.EvacuationOrder:
 		return c.handleLeaderCall(ctx, from, kind, body)
 	case messenger.Join:
 		return c.handleJoin(ctx, from.Identity().Process())
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -242,6 +242,7 @@
 
 func (c *Controller) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s := c.status.Load()
+	evacuated := c.evacuations.Load()
 	var voters, learners []string
 	for _, p := range s.membership.Voters() {
 		voters = append(voters, p.String())
@@ -262,6 +263,9 @@
 		"ticket":      c.configuration.Load().Number(),
 		"peers":       operator.DescribePeers(c.endpoint.Peers()),
 		"entries":     operator.EntryKeys(c.disseminator.Live()),
+
+		"evacuated":          evacuated.DataCentres(),
+		"evacuationRevision": evacuated.Revision(),
 	})
 }
 
--- a/internal/controller/periodic.go
+++ b/internal/controller/periodic.go
@@ -41,10 +41,11 @@
 	clockDrift = 5 * time.Second
 )
 
-// runPeriodicTasks runs the periodic tasks of a control VM. All but the first
-// are tasks of the leader.
+// runPeriodicTasks runs the periodic tasks of a control VM. All but the
+// notifications of routers are tasks of the leader.
 func (c *Controller) runPeriodicTasks(ctx context.Context) {
 	c.notifyRouters(messenger.NewNumberUpdate(c.configuration.Load().Number()))
+	c.notifyEvacuations()
 	s := c.status.Load()
 	if s.role != replicator.Leader {
 		c.routerActivity.reset()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,8 @@
 	// interrupted is whether the target was sent the request and did not send a whole
 	// response, for a reason other than the deadline or the caller.
 	interrupted bool
-	// withdrawn is whether nothing was sent since targets were found to end under such requests.
+	// withdrawn is whether nothing was sent since targets were found to end under such requests,
+	// or since the data centre of the target is evacuated.
 	withdrawn bool
 	err       error
 	status    int
@@ -111,7 +112,7 @@
 				TimeLeft: max(0, time.Until(q.deadline)), Priority: q.priority, LastEventID: q.resumeEventID(),
 			}))
 		},
-		Withdrawn:     func() bool { return q.quarantineRefusal() != nil },
+		Withdrawn:     func() bool { return q.quarantineRefusal() != nil || q.evacuatedMeanwhile(target) },
 		Body:          q.body,
 		NewConnection: !q.repeatable(),
 		MatchesResponse: func(status int, h http.Header) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	"radishshed.example/radishshed/pkg/coordination/repeater"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
+	"radishshed.example/radishshed/pkg/state/evacuator"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
@@ -121,6 +122,7 @@
 	departures                      *departuresharer.Sharer
 	sizeRanker                      *limiter.SizeRanker
 	origins                         *originsharer.Sharer
+	evacuations                     atomic.Pointer[evacuator.Set] // guarded by activationMutex when it is changed
 	relays                          *relayer.Relayer
 	relayCandidates                 atomic.Pointer[[]relayselector.Candidate]
 	linkUtilisation                 atomic.Uint64 // share of the link in use, as the bits of a float64
@@ -152,6 +154,7 @@
 	g.meters = newMeters(g.metrics)
 	g.tracker = requesttracker.New(requesttracker.Config{Metrics: g.metrics, Log: c.Log})
 	g.catalogueRecord.Store(&cataloguer.Record{})
+	g.evacuations.Store(&evacuator.Set{})
 	g.Reload(c.Settings)
 	g.relayCandidates.Store(&[]relayselector.Candidate{})
 	g.relays = g.newRelayer(c.DialTarget)
@@ -273,6 +276,7 @@
 		Metrics:       g.metrics,
 		Timeline:      g.timeline,
 	})
+	operators.With(operator.RequireOperatorKey(g.settings.OperatorCredentials().AdmitsOperator)).Get("/status", g.serveStatus)
 	handlers := map[string]http.Handler{
 		g.settings.LinkAddress():     links,
 		g.settings.OperatorAddress(): operators,
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -218,6 +218,8 @@
 			g.queueFetch(from)
 		}
 		return nil, err
+	case messenger.EvacuationNotice:
+		return nil, g.handleEvacuations(body)
 	case messenger.CatalogueRequest:
 		return messenger.EncodeCatalogue(*g.catalogueRecord.Load())
 	case messenger.LoanRequest:
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -21,6 +21,11 @@
 	// investigationsSkipped counts the failed attempts that were not investigated, since
 	// too many were under way.
 	investigationsSkipped metrics.Counter
+	// refusedByEvacuation counts the requests for which all targets are in evacuated data
+	// centres, and withdrawnByEvacuation those whose target was evacuated while they waited
+	// for a connection to it.
+	refusedByEvacuation   metrics.Counter
+	withdrawnByEvacuation metrics.Counter
 	firstByte             metrics.Histogram // milliseconds
 	duration              metrics.Histogram // milliseconds
 }
@@ -42,6 +47,8 @@
 		connections: counter("targetConnections"),
 
 		investigationsSkipped: counter("investigationsSkipped"),
+		refusedByEvacuation:   counter("requestsRefusedByEvacuation"),
+		withdrawnByEvacuation: counter("requestsWithdrawnByEvacuation"),
 
 		firstByte: histogram("firstByteMilliseconds"),
 		duration:  histogram("requestMilliseconds"),
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -66,7 +66,7 @@
 // placementRequest returns what decides which targets can be chosen.
 func (q *request) placementRequest(now time.Time, exclude []string) placer.Request {
 	return placer.Request{
-		Service: q.service.Name(), SoftwareVersion: q.onlyVersion, Exclude: exclude,
+		Service: q.service.Name(), SoftwareVersion: q.onlyVersion, Exclude: exclude, Allows: q.gateway.allows(),
 		IgnoreLeases: q.gateway.inLeaseGrace(now), Now: now,
 	}
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,6 +21,9 @@
 	startingRetryAfter    = 300 * time.Millisecond
 	targetRetryAfter      = 250 * time.Millisecond
 	targetsFullRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is longer than the others, since an evacuation lasts until an
+	// operator ends it.
+	evacuatedRetryAfter = time.Second
 	// retryJitter is the largest fraction that is added to a Retry-After value as
 	// jitter, so that callers refused at the same moment do not all retry at the
 	// same moment.
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -34,7 +34,7 @@
 		DataCentre:  g.settings.DataCentre(),
 		Dial:        dial,
 		Tunneller:   func() relayer.Tunneller { return g.endpoint },
-		Targets:     func() []string { return g.placer.Addresses(time.Now(), g.inLeaseGrace(time.Now())) },
+		Targets:     g.reachableAddresses,
 		Candidates:  func() []relayselector.Candidate { return *g.relayCandidates.Load() },
 		Load:        g.relayLoad,
 		Draining:    g.tracker.ShuttingDown,
@@ -46,6 +46,13 @@
 	})
 }
 
+// reachableAddresses returns the addresses of the targets to which this router opens
+// connections, also for other routers and to see whether its path to targets is lost.
+func (g *Gateway) reachableAddresses() []string {
+	now := time.Now()
+	return g.placer.Addresses(now, g.inLeaseGrace(now), g.allows())
+}
+
 // relayLoad returns how busy this router is, where 1 is full. One that diverts new connections
 // of its own callers takes none of other routers.
 func (g *Gateway) relayLoad() float64 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -147,7 +147,10 @@
 	if r := q.readBody(); r != nil {
 		return r
 	}
-	return q.quarantineRefusal()
+	if r := q.quarantineRefusal(); r != nil {
+		return r
+	}
+	return q.evacuationRefusal()
 }
 
 // limitWriting makes writes to the caller fail soon after the request's deadline, so that
@@ -211,7 +214,7 @@
 		}
 		placement, err := q.acquirePlacement(ctx)
 		if err != nil {
-			q.giveUp(placementRefusal(err))
+			q.giveUp(q.noPlacementRefusal(err))
 			return
 		}
 		q.gateway.notifyPrefill(placement)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -95,6 +95,12 @@
 	// OriginCall is a call that asks which version began a stream. It returns the answer
 	// (package originstorer).
 	OriginCall
+	// EvacuationOrder is a call that asks control to carry out an operator's order to begin
+	// or to finish an evacuation. It returns a Response with the evacuated data centres.
+	EvacuationOrder
+	// EvacuationNotice is a notice that carries the evacuated data centres. It is sent only
+	// after the first order.
+	EvacuationNotice
 )
 
 // Response is a control VM's response to a call: either a result or a redirect to
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -67,6 +67,12 @@
 	return &Client{w.ControlAddresses, w.RouterAddresses, strings.TrimSpace(string(key)), &http.Client{Timeout: clientTimeout}, scheme}, nil
 }
 
+// NewClient returns a client without an operator key for the control VMs with the given
+// operator addresses.
+func NewClient(controlAddresses []string) *Client {
+	return &Client{controlAddresses: controlAddresses, client: &http.Client{Timeout: clientTimeout}, scheme: "http"}
+}
+
 // Addresses returns the operator addresses of all control VMs and routers.
 func (c *Client) Addresses() []string {
 	return append(append([]string(nil), c.controlAddresses...), c.routerAddresses...)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -218,18 +218,37 @@
 }
 
 // Addresses returns the addresses of the targets that are there, though they may want nothing.
-func (p *Placer) Addresses(now time.Time, ignoreLeases bool) []string {
+// The function allows, if set, reports whether targets of a data centre are included.
+func (p *Placer) Addresses(now time.Time, ignoreLeases bool, allows func(dataCentre string) bool) []string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var addresses []string
 	for _, t := range p.targets {
-		if t.present(now, ignoreLeases) {
+		if t.present(now, ignoreLeases) && (allows == nil || allows(t.announcement.DataCentre())) {
 			addresses = append(addresses, t.announcement.Address())
 		}
 	}
 	return addresses
 }
 
+// NoneAllowed reports whether the request's service has targets, but all of them are in data
+// centres that Allows excludes.
+func (p *Placer) NoneAllowed(r Request) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := false
+	for _, t := range p.byService[r.Service] {
+		if !t.present(r.Now, r.IgnoreLeases) {
+			continue
+		}
+		if r.Allows == nil || r.Allows(t.announcement.DataCentre()) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // CountUsable returns how many targets can be chosen for a request.
 func (p *Placer) CountUsable(r Request) int {
 	p.mutex.Lock()
