--- a/internal/placer/datacentre_test.go
+++ b/internal/placer/datacentre_test.go
@@ -28,7 +28,13 @@
 			t.Fatalf("a target in data centre %q was chosen", got)
 		}
 	}
+	if p.NoneAllowed(r) {
+		t.Error("no data centre is said to be allowed, though one is")
+	}
 	r.Allows = func(string) bool { return false }
+	if unknown := (placer.Request{Service: "unknown", Now: start, Allows: r.Allows}); !p.NoneAllowed(r) || p.NoneAllowed(unknown) {
+		t.Error("a service without targets is mistaken for one whose data centres are all closed")
+	}
 	if _, err := p.Choose(r); !errors.Is(err, placer.ErrNoTarget) {
 		t.Errorf("%v, want %v", err, placer.ErrNoTarget)
 	}
