limiter, gateway: a target that warms has the limit of its service until the end of its warm-up

The end is part of its announcement, so all routers know it without a response; X-Warmup-Ms in a response extends it and is shared as an entry. Permits for warming targets go to the smallest prompts, from smaller buckets than others, since the bound is on one second, and a new coordinator grants nothing for two.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -88,6 +88,8 @@
 	// Brittleness is how many requests the target can turn away in a second without falling
 	// over, or zero if it does not say so.
 	Brittleness int
+	// Warmup is what the target says about its warm-up. Default: WarmupNotStated.
+	Warmup Warmup
 }
 
 // Advice is what one response says about the target that sent it. The zero value says
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -80,9 +80,14 @@
 // Announce disseminates the announcement of a target to the fleet.
 func (c *Controller) Announce(a selector.Announcement) error {
 	now := time.Now()
+	warmsAgain := false
 	if known, ok := c.targetEntry(a.Name()); ok && known.Version().Incarnation() == a.Incarnation() {
 		previous, err := selector.AnnouncementFrom(known)
-		unchanged := err == nil && previous.State() == a.State() && previous.Address() == a.Address()
+		if err == nil && a.WarmupEndsAt().IsZero() && previous.WarmupEndsAt().After(now) {
+			a = a.WithWarmupEndsAt(previous.WarmupEndsAt())
+		}
+		warmsAgain = err == nil && a.WarmupEndsAt().After(now) && !previous.WarmupEndsAt().After(now)
+		unchanged := err == nil && previous.State() == a.State() && previous.Address() == a.Address() && sameWarmup(previous, a, now)
 		if unchanged && known.ExpiresAt().Sub(now) > targetLease-renewalInterval {
 			return nil
 		}
@@ -95,6 +100,9 @@
 	if err := c.disseminator.Put(entry); err != nil {
 		return err
 	}
+	if warmsAgain {
+		c.disseminator.Flush() // the next round of updates may come 250 ms later
+	}
 	if _, leaving := a.State().(selector.Leaving); leaving {
 		c.log.Info("target leaves", zap.String("target", a.Name()), zap.Uint64("incarnation", a.Incarnation()),
 			zap.Uint64("sequence", a.Sequence()))
@@ -102,6 +110,22 @@
 	return nil
 }
 
+// sameWarmup reports whether two announcements state about the same end of a warm-up.
+// Announcements take unequal times.
+func sameWarmup(previous, a selector.Announcement, now time.Time) bool {
+	const ignored = 250 * time.Millisecond
+	if !previous.WarmupEndsAt().After(now) && !a.WarmupEndsAt().After(now) {
+		return true
+	}
+	return a.WarmupEndsAt().Sub(previous.WarmupEndsAt()).Abs() <= ignored
+}
+
+// RecordMalformedWarmup records that the warm-up in the announcement of a target could
+// not be read and was ignored.
+func (c *Controller) RecordMalformedWarmup(target string) {
+	c.limits.RecordMalformedWarmup(target, time.Now())
+}
+
 // DeregisterTarget announces that a target has left, so that no router sends
 // further requests to its current incarnation. It does nothing if the
 // incarnation is neither zero nor the current one. It also does nothing if this
--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -18,6 +18,7 @@
 	now := time.Now()
 	target := p.Target()
 	g.limits.Observe(target.Name(), target.Incarnation(), advice, now)
+	g.limits.ObserveWarmup(target, advice, now)
 	g.departures.Observe(target.Name(), target.Incarnation(), advice, now)
 	if until := advice.PausedUntil(); !until.IsZero() {
 		p.RecordPause(until, now)
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -302,6 +302,7 @@
 		return err
 	}
 	previous := g.catalogueRecord.Load().Version()
+	g.limits.SetWarmupRates(catalogue.WarmupRates(), g.disseminator.Live, time.Now())
 	g.catalogue.Store(catalogue)
 	g.catalogueRecord.Store(&record)
 	g.spender.InvalidateBalances()
--- a/internal/limiter/codec.go
+++ b/internal/limiter/codec.go
@@ -15,6 +15,9 @@
 const (
 	// keyPrefix is the key prefix of disseminator entries that are limits.
 	keyPrefix = "limit/"
+	// warmupPrefix is the key prefix of disseminator entries that are warm-ups which responses
+	// state. Builds that know no warm-ups ignore them.
+	warmupPrefix = "warmup/"
 	// maxNameBytes bounds the name of a target.
 	maxNameBytes = 128
 )
@@ -49,6 +52,12 @@
 	Limit         *wireLimit
 }
 
+// wireWarmup is the value of the entry of a warm-up. The entry expires with it.
+type wireWarmup struct {
+	_        struct{} `cbor:",toarray"`
+	Services []string
+}
+
 type wireRate struct {
 	_    struct{} `cbor:",toarray"`
 	Rate *float64
@@ -73,7 +82,7 @@
 func limitToWire(l Limit, now time.Time) wireLimit {
 	return wireLimit{
 		Target: l.target, Incarnation: l.incarnation, Sequence: l.sequence, Rate: rateToWire(l.rate),
-		RemainingMillis: l.expiresAt.Sub(now).Milliseconds(),
+		RemainingMillis: min(l.expiresAt.Sub(now), limitLifetime).Milliseconds(), // a warm-up can be longer
 	}
 }
 
@@ -174,3 +183,29 @@
 		rate: rateFromWire(w.Rate), expiresAt: e.ExpiresAt(),
 	}, nil
 }
+
+// Entry returns the disseminator entry of a warm-up.
+func (w Warmup) Entry() (disseminator.Entry, error) {
+	value, err := encoder.Marshal(wireWarmup{Services: w.config.Services})
+	return disseminator.NewEntry(disseminator.EntryConfig{
+		Key:     warmupPrefix + w.config.Target,
+		Version: disseminator.NewVersion(w.config.Incarnation, uint64(max(0, w.config.EndsAt.UnixMilli()))),
+		Value:   value, ExpiresAt: w.config.EndsAt,
+	}), err
+}
+
+// IsWarmup reports whether a disseminator entry is the warm-up of a target.
+func IsWarmup(e disseminator.Entry) bool { return strings.HasPrefix(e.Key(), warmupPrefix) }
+
+// WarmupFrom returns the warm-up in a disseminator entry.
+func WarmupFrom(e disseminator.Entry) (Warmup, error) {
+	var w wireWarmup
+	if err := encoder.Unmarshal(e.Value(), &w); err != nil {
+		return Warmup{}, err
+	}
+	name := strings.TrimPrefix(e.Key(), warmupPrefix)
+	if name == "" || len(name) > maxNameBytes {
+		return Warmup{}, errMalformed
+	}
+	return NewWarmup(WarmupConfig{Target: name, Incarnation: e.Version().Incarnation(), Services: w.Services, EndsAt: e.ExpiresAt()}), nil
+}
--- a/internal/limiter/coordinator.go
+++ b/internal/limiter/coordinator.go
@@ -18,6 +18,10 @@
 	// that few of them are lost to routers that ask seldom.
 	minBurst  = 2
 	burstTime = 500 * time.Millisecond
+	// warmupBurstTime replaces burstTime for warming targets. All coordinators together grant
+	// 1.3125 R + (2 + 0.1 R) + 2 permits in a second at a rate of R, and 1.5 R + 5 requests may
+	// arrive; the rest is left for requests that reach the target with unequal delays.
+	warmupBurstTime = 100 * time.Millisecond
 	// demandMargin is how much more demand than supply may ask for permits, so that few of
 	// them are lost when the demand varies.
 	demandMargin = 1.5
@@ -43,6 +47,7 @@
 
 	granted, denied uint64 // since the last Usage
 	rate            float64
+	limit           Limit // to which the last answer kept
 }
 
 // fill adds what has accrued at the given rate.
@@ -61,25 +66,29 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	denied := PermitReply{notBefore: now.Add(notCoordinatorWait), minRankUntil: now}
-	if _, err := l.apply(r.limit, now); err != nil || rank < 0 || rank >= maxCoordinators {
+	if err := l.learn(r, now); err != nil || rank < 0 || rank >= maxCoordinators {
 		return denied
 	}
-	known, ok := l.known(r.limit.target, now)
+	limit, ok := l.granted(r, now)
 	if !ok {
 		return denied
 	}
 	reply := PermitReply{}
-	if known.newerThan(r.limit) {
+	if known, ok := l.known(r.limit.target, now); ok && known.newerThan(r.limit) {
 		reply.limit = known
 	}
-	limit, limited := known.requestsPerSecond()
-	if !limited || known.incarnation > r.limit.incarnation {
+	perSecond, limited := limit.requestsPerSecond()
+	if !limited || limit.incarnation > r.limit.incarnation && !limit.ofWarmup() {
 		reply.granted = true
 		return reply
 	}
 	b := &l.targets[r.limit.target].bucket
 	b.demand.add(float64(r.wanted), now)
-	rate, burst := shareOf(limit, rank)
+	rate, burst := shareOf(perSecond, rank)
+	if limit.ofWarmup() || l.isWarming(l.targets[r.limit.target], now) {
+		burst = min(burst, minBurst+rate*warmupBurstTime.Seconds())
+	}
+	b.limit = limit
 	b.fill(rate, burst, now)
 	if b.tokens >= 1 && r.rank >= b.minRank(rate, burst, now) {
 		b.tokens--
@@ -95,6 +104,31 @@
 	return reply
 }
 
+// learn records the limit that a permit request names. The end of a warm-up is known from
+// announcements and responses, so a request that names one changes nothing but the run.
+func (l *Limiter) learn(r PermitRequest, now time.Time) error {
+	if !r.limit.ofWarmup() {
+		_, err := l.apply(r.limit, now)
+		return err
+	}
+	if t, ok := l.targets[r.limit.target]; ok && t.incarnation >= r.limit.incarnation {
+		return nil
+	}
+	_, err := l.run(r.limit.target, r.limit.incarnation, now)
+	return err
+}
+
+// granted returns the limit to which the answer to a permit request keeps, and whether there
+// is one. It is the lower one if the asking router knows of a warm-up that this process has not
+// heard of.
+func (l *Limiter) granted(r PermitRequest, now time.Time) (Limit, bool) {
+	limit, ok := l.inForce(r.limit.target, now)
+	if !r.limit.ofWarmup() || ok && limit.incarnation > r.limit.incarnation {
+		return limit, ok
+	}
+	return lower(limit, r.limit), true
+}
+
 // shareOf returns the rate at which the coordinator of a rank grants permits, and the most
 // that it grants at once. Routers that disagree about who can be reached may use all
 // coordinators of a target, so the rates of all ranks add up to less than 4/3 of the limit.
@@ -176,7 +210,11 @@
 		if b.granted+b.denied == 0 {
 			continue
 		}
-		usages = append(usages, Usage{t.limit, b.rate, b.demand.perSecond(now), b.granted, b.denied})
+		limit := t.limit
+		if b.limit.ofWarmup() {
+			limit = b.limit
+		}
+		usages = append(usages, Usage{limit, b.rate, b.demand.perSecond(now), b.granted, b.denied})
 		b.granted, b.denied = 0, 0
 	}
 	slices.SortFunc(usages, func(a, b Usage) int { return cmp.Compare(a.limit.target, b.limit.target) })
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -14,6 +14,12 @@
 // requests, and targets without a limit get the rest, the permits go to the largest requests
 // (SizeRanker): the others cost those targets least.
 //
+// A target that warms up has a limit as well: that of its service, until the end of the warm-up
+// (Announce, ObserveWarmup, ApplyWarmup). The load: all targets of a data centre start at
+// once and end under more than a few requests a second. All routers know the limit from the
+// announcement, without a response. Its permits go to the smallest requests, and its coordinators
+// grant fewer at once, since the bound is on the requests in one second.
+//
 // Use: Observe and Apply record limits, Decide decides on a request, Grant answers other
 // routers, Resolve records their answers.
 //
@@ -68,13 +74,16 @@
 	tieBreak uint64
 	random   func() float64
 
-	mutex   sync.Mutex
-	targets map[string]*target
+	mutex       sync.Mutex
+	targets     map[string]*target
+	warmupRates map[string]float64 // by service
 }
 
 // target is the state of a target whose limit is known.
 type target struct {
-	limit Limit
+	incarnation uint64
+	limit       Limit  // what the target names, if anything
+	warmup      warmup // zero if none is known
 
 	// As a router that sends requests.
 	demand    demand
@@ -124,7 +133,7 @@
 			return Limit{}, false, nil
 		}
 	}
-	if ok && known.incarnation > o.Incarnation {
+	if ok && known.incarnation > o.Incarnation || l.knowsLaterWarmup(o.Target, o.Incarnation, now) {
 		return Limit{}, false, nil
 	}
 	if ok && known.incarnation == o.Incarnation {
@@ -165,7 +174,7 @@
 
 func (l *Limiter) apply(reported Limit, now time.Time) (bool, error) {
 	known, ok := l.known(reported.target, now)
-	if ok && !reported.newerThan(known) {
+	if ok && !reported.newerThan(known) || l.knowsLaterWarmup(reported.target, reported.incarnation, now) {
 		return false, nil
 	}
 	reported.changedAt = now
@@ -184,7 +193,7 @@
 
 func (l *Limiter) known(name string, now time.Time) (Limit, bool) {
 	t, ok := l.targets[name]
-	if !ok || !now.Before(t.limit.expiresAt) {
+	if !ok || t.limit.rate == nil || !now.Before(t.limit.expiresAt) {
 		return Limit{}, false
 	}
 	return t.limit, true
@@ -193,30 +202,42 @@
 // store records a limit. What was derived from another rate, or from an earlier run of the
 // target, is forgotten.
 func (l *Limiter) store(limit Limit, now time.Time) error {
-	t, ok := l.targets[limit.target]
+	t, err := l.run(limit.target, limit.incarnation, now)
+	if err != nil {
+		return err
+	}
+	if !sameRate(t.limit.rate, limit.rate) {
+		t.forgetWaits()
+	}
+	t.limit = limit
+	return nil
+}
+
+// run returns the state of a run of a target. What belongs to another run is forgotten.
+func (l *Limiter) run(name string, incarnation uint64, now time.Time) (*target, error) {
+	t, ok := l.targets[name]
 	if !ok {
 		if len(l.targets) >= maxTargets {
 			l.removeExpired(now)
 		}
 		if len(l.targets) >= maxTargets {
-			return ErrFull
+			return nil, ErrFull
 		}
 		t = &target{}
-		l.targets[limit.target] = t
+		l.targets[name] = t
 	}
-	switch {
-	case t.limit.incarnation != limit.incarnation:
-		*t = target{}
-	case !sameRate(t.limit.rate, limit.rate):
-		t.waitUntil, t.minRankUntil = time.Time{}, time.Time{}
+	if t.incarnation != incarnation {
+		*t = target{incarnation: incarnation}
 	}
-	t.limit = limit
-	return nil
+	return t, nil
 }
 
+// forgetWaits forgets the answers to permit requests that concerned another limit.
+func (t *target) forgetWaits() { t.waitUntil, t.minRankUntil = time.Time{}, time.Time{} }
+
 func (l *Limiter) removeExpired(now time.Time) {
 	for name, t := range l.targets {
-		if !now.Before(t.limit.expiresAt) {
+		if !now.Before(t.limit.expiresAt) && !now.Before(t.warmup.endsAt()) {
 			delete(l.targets, name)
 		}
 	}
--- a/internal/limiter/permit.go
+++ b/internal/limiter/permit.go
@@ -48,7 +48,7 @@
 	limit  Limit
 	wanted uint64  // requests since the last PermitRequest
 	demand float64 // requests a second of the asking router
-	rank   float64 // of the request among those of its router, from 0 to 1
+	rank   float64 // by which the request gets a permit, from 0 to 1
 }
 
 // Target returns the name of the target.
@@ -93,7 +93,7 @@
 	Target      string
 	Incarnation uint64
 	// Rank is the rank of the request among those of this router, from 0 to 1. Those of the
-	// highest ranks get the permits.
+	// highest ranks get the permits, and those of the lowest the permits for warming targets.
 	Rank float64
 	// Counted is whether another target was tried for the request before. It then adds nothing
 	// to the demand for this one.
@@ -104,8 +104,8 @@
 func (l *Limiter) Decide(a Attempt, now time.Time) Decision {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known, ok := l.known(a.Target, now)
-	if _, limited := known.requestsPerSecond(); !ok || !limited || known.incarnation < a.Incarnation {
+	limit, ok := l.inForce(a.Target, now)
+	if _, limited := limit.requestsPerSecond(); !ok || !limited || limit.incarnation < a.Incarnation {
 		return Free{}
 	}
 	t := l.targets[a.Target]
@@ -113,12 +113,13 @@
 		t.demand.add(1, now)
 		t.wanted++
 	}
-	if until := t.unavailableUntil(a.Rank); now.Before(until) {
+	rank := l.permitRank(t, a.Rank, now)
+	if until := t.unavailableUntil(rank); now.Before(until) {
 		return Wait{until}
 	}
 	wanted := t.wanted
 	t.wanted = 0
-	return Ask{PermitRequest{limit: known, wanted: wanted, demand: t.demand.perSecond(now), rank: a.Rank}}
+	return Ask{PermitRequest{limit: limit, wanted: wanted, demand: t.demand.perSecond(now), rank: rank}}
 }
 
 // unavailableUntil returns until when no permit can be had for a request of the rank.
@@ -139,8 +140,8 @@
 		}
 	}
 	if t := l.asked(r); t != nil && !reply.granted {
-		t.waitUntil = l.spread(reply.notBefore, now)
-		t.minRank, t.minRankUntil = reply.minRank, l.spread(reply.minRankUntil, now)
+		t.waitUntil = r.limit.lastWait(l.spread(reply.notBefore, now))
+		t.minRank, t.minRankUntil = reply.minRank, r.limit.lastWait(l.spread(reply.minRankUntil, now))
 	}
 	return nil
 }
@@ -158,7 +159,14 @@
 // request that named an earlier limit says nothing about the present one.
 func (l *Limiter) asked(r PermitRequest) *target {
 	t, ok := l.targets[r.limit.target]
-	if !ok || t.limit.newerThan(r.limit) {
+	switch {
+	case !ok:
+		return nil
+	case r.limit.ofWarmup():
+		if t.incarnation != r.limit.incarnation {
+			return nil
+		}
+	case t.limit.newerThan(r.limit):
 		return nil
 	}
 	return t
@@ -176,7 +184,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for name, t := range l.targets {
-		until := t.unavailableUntil(rank)
+		until := t.unavailableUntil(l.permitRank(t, rank, now))
 		if !now.Before(until) {
 			continue
 		}
@@ -194,8 +202,8 @@
 	defer l.mutex.Unlock()
 	var names []string
 	for name := range l.targets {
-		known, ok := l.known(name, now)
-		if _, limited := known.requestsPerSecond(); ok && limited {
+		limit, ok := l.inForce(name, now)
+		if _, limited := limit.requestsPerSecond(); ok && limited {
 			names = append(names, name)
 		}
 	}
--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -1,14 +1,16 @@
 // Package limitsharer connects the Limiter of a process with those of other processes.
 //
 // Limits of targets are entries of the disseminator: a process that starts, or whose links
-// are restored, receives those that it lacks over its first link. Permits are asked for with
-// a call to a coordinator.
+// are restored, receives those that it lacks over its first link. So are warm-ups: as part of
+// announcements, or as entries of their own if a response states them. Permits are asked for
+// with a call to a coordinator.
 package limitsharer
 
 import (
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +32,8 @@
 	suspectTime = time.Second
 	// reportInterval is the interval of the log lines about limits in use.
 	reportInterval = 5 * time.Second
+	// candidateInterval is the interval at which changes of the candidates are looked for.
+	candidateInterval = 500 * time.Millisecond
 	// malformedInterval limits the log lines about statements of targets that cannot be read.
 	malformedInterval = time.Minute
 )
@@ -61,13 +65,20 @@
 	config   Config
 	limiter  *limiter.Limiter
 	suspects suspectList
+	ranks    limiter.RankHistory
 
 	granted, denied, unanswered, malformed metrics.Counter
+	warmupsStarted, malformedWarmups       metrics.Counter
+	// hasWarmupRates is whether targets of any service have a limit while they warm.
+	hasWarmupRates atomic.Bool
 
 	mutex           sync.Mutex
-	malformedLogged map[string]time.Time // by target
+	malformedLogged map[malformedKey]time.Time
 }
 
+// malformedKey is a target and what of its statements could not be read.
+type malformedKey struct{ target, statement string }
+
 // New returns a Sharer that knows no limit.
 func New(c Config) *Sharer {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, c.Metrics) }
@@ -79,18 +90,33 @@
 		denied:          counter("permitsDenied"),
 		unanswered:      counter("permitsUnanswered"),
 		malformed:       counter("malformedLimits"),
-		malformedLogged: map[string]time.Time{},
+		malformedLogged: map[malformedKey]time.Time{},
+
+		warmupsStarted:   counter("warmupsStarted"),
+		malformedWarmups: counter("malformedWarmups"),
 	}
 }
 
 // Limited returns the targets that have a limit.
 func (s *Sharer) Limited(now time.Time) []string { return s.limiter.Limited(now) }
 
-// Run logs the limits in use until the context ends.
+// Run logs the limits in use and follows the candidates until the context ends.
 func (s *Sharer) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() {
+		repeater.New(repeater.Config{Interval: candidateInterval, Step: func(context.Context) { s.recordCandidates(time.Now()) }}).Run(ctx)
+	})
+	defer running.Wait()
 	repeater.New(repeater.Config{Interval: reportInterval, Step: func(context.Context) { s.report(time.Now()) }}).Run(ctx)
 }
 
+// recordCandidates records the present candidates, which matter for warming targets only.
+func (s *Sharer) recordCandidates(now time.Time) {
+	if s.hasWarmupRates.Load() {
+		s.ranks.Record(s.config.Candidates(), now)
+	}
+}
+
 // report logs the limits for which this process has been asked for permits.
 func (s *Sharer) report(now time.Time) {
 	for _, u := range s.limiter.Usage(now) {
@@ -104,7 +130,8 @@
 // processes what is new.
 func (s *Sharer) Observe(target string, incarnation uint64, advice adviser.Advice, now time.Time) {
 	if _, malformed := advice.RateLimit().(adviser.Malformed); malformed {
-		s.recordMalformed(target, now)
+		s.malformed.Inc(1)
+		s.logMalformed(malformedKey{target, "request limit"}, now)
 		return
 	}
 	former, _ := s.limiter.Known(target, now)
@@ -119,21 +146,20 @@
 	}
 }
 
-// recordMalformed logs, now and then, that a target's statement cannot be read.
-func (s *Sharer) recordMalformed(target string, now time.Time) {
-	s.malformed.Inc(1)
+// logMalformed logs, now and then, that a target's statement cannot be read.
+func (s *Sharer) logMalformed(key malformedKey, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for name, at := range s.malformedLogged {
+	for logged, at := range s.malformedLogged {
 		if now.Sub(at) >= malformedInterval {
-			delete(s.malformedLogged, name)
+			delete(s.malformedLogged, logged)
 		}
 	}
-	if _, logged := s.malformedLogged[target]; logged {
+	if _, logged := s.malformedLogged[key]; logged {
 		return
 	}
-	s.malformedLogged[target] = now
-	s.config.Log.Warn("the request limit that a target names cannot be read and is ignored", zap.String("target", target))
+	s.malformedLogged[key] = now
+	s.config.Log.Warn("the "+key.statement+" that a target names cannot be read and is ignored", zap.String("target", key.target))
 }
 
 func (s *Sharer) publish(limit limiter.Limit) {
@@ -146,9 +172,10 @@
 	}
 }
 
-// Apply records the limits among the entries.
+// Apply records the limits and warm-ups among the entries.
 func (s *Sharer) Apply(entries []disseminator.Entry, now time.Time) {
 	for _, e := range entries {
+		s.applyWarmup(e, now)
 		if !limiter.IsLimit(e) {
 			continue
 		}
@@ -199,7 +226,18 @@
 		return nil, err
 	}
 	rank := slices.Index(s.coordinators(r.Target()), s.config.VM)
-	return limiter.EncodeReply(s.limiter.Grant(r, rank, now), now)
+	return limiter.EncodeReply(s.grant(r, rank, now), now)
+}
+
+// grant answers a request for a permit. For a warming target the rank counts that this process
+// has had for a while: the time in which two coordinators grant the whole rate may be as long as
+// the window of its bound.
+func (s *Sharer) grant(r limiter.PermitRequest, rank int, now time.Time) limiter.PermitReply {
+	if s.limiter.ConcernsWarmup(r, now) {
+		s.ranks.Record(s.config.Candidates(), now)
+		rank = s.ranks.Settled(r.Target(), s.config.VM, now)
+	}
+	return s.limiter.Grant(r, rank, now)
 }
 
 func (s *Sharer) coordinators(target string) []string {
@@ -237,7 +275,7 @@
 	now := time.Now()
 	for rank, vm := range s.coordinators(r.Target()) {
 		if vm == s.config.VM {
-			return s.limiter.Grant(r, rank, now), nil
+			return s.grant(r, rank, now), nil
 		}
 		peer, ok := s.config.Peer(vm)
 		if !ok || s.suspects.contains(vm, now) {
--- a/internal/selector/target.go
+++ b/internal/selector/target.go
@@ -57,6 +57,7 @@
 	capacity    int64
 	state       State
 	load        Load
+	warmupEnd   time.Time
 }
 
 // Load is the load that a target reports. It is outdated by the report interval
@@ -92,6 +93,9 @@
 	Capacity int64
 	// State is the announced state. Required.
 	State State
+	// WarmupEndsAt is the end of the target's warm-up, or zero if it does not state one. One in
+	// the past says that the target is not warming.
+	WarmupEndsAt time.Time
 }
 
 // NewAnnouncement returns a validated announcement.
@@ -99,6 +103,7 @@
 	a := Announcement{
 		name: c.Name, address: c.Address, dataCentre: c.DataCentre, software: c.SoftwareVersion, incarnation: c.Incarnation,
 		sequence: c.Sequence, services: c.Services, capacity: c.Capacity, state: c.State,
+		warmupEnd: c.WarmupEndsAt,
 	}
 	return a, a.check()
 }
@@ -133,6 +138,16 @@
 // State returns the announced state.
 func (a Announcement) State() State { return a.state }
 
+// WarmupEndsAt returns the end of the target's warm-up, or zero if the announcement does not
+// state one.
+func (a Announcement) WarmupEndsAt() time.Time { return a.warmupEnd }
+
+// WithWarmupEndsAt returns the announcement with another end of the warm-up.
+func (a Announcement) WithWarmupEndsAt(end time.Time) Announcement {
+	a.warmupEnd = end
+	return a
+}
+
 // departureSequenceOffset raises the sequence number of a departure above that
 // of any announcement of the same incarnation that is still in flight.
 const departureSequenceOffset = 1 << 40
@@ -232,7 +247,7 @@
 	if err != nil {
 		return disseminator.Entry{}, errors.Wrap(err, "encode announcement")
 	}
-	load, err := json.Marshal([2]int64{a.load.running, a.load.waiting})
+	load, err := json.Marshal(a.loadNumbers(expiresAt))
 	if err != nil {
 		return disseminator.Entry{}, errors.Wrap(err, "encode load")
 	}
@@ -245,6 +260,18 @@
 	}), nil
 }
 
+// loadNumbers returns the load and, if the target states it, the end of the warm-up in
+// milliseconds after the end of the lease: processes agree on that in spite of their clocks,
+// and builds that know no warm-ups ignore a third number. The value of the entry would be sent
+// anew with each announcement.
+func (a Announcement) loadNumbers(expiresAt time.Time) []int64 {
+	numbers := []int64{a.load.running, a.load.waiting}
+	if !a.warmupEnd.IsZero() {
+		numbers = append(numbers, a.warmupEnd.Sub(expiresAt).Milliseconds())
+	}
+	return numbers
+}
+
 // TargetKey returns the key of the disseminator entry of the named target.
 func TargetKey(name string) string { return keyPrefix + name }
 
@@ -257,11 +284,15 @@
 	if err != nil {
 		return a, err
 	}
-	var load [2]int64
+	var load []int64
 	if err := json.Unmarshal(e.Load(), &load); err != nil {
 		return a, errors.Wrap(err, "decode load")
 	}
+	load = append(load, make([]int64, max(0, 2-len(load)))...)
 	a.sequence = e.Version().Sequence()
 	a.load = Load{load[0], load[1]}
+	if len(load) > 2 {
+		a.warmupEnd = e.ExpiresAt().Add(time.Duration(load[2]) * time.Millisecond)
+	}
 	return a, nil
 }
--- a/pkg/state/cataloguer/cataloguer.go
+++ b/pkg/state/cataloguer/cataloguer.go
@@ -28,6 +28,12 @@
 	MaxConnections int
 	// Engine describes targets that are model engines. Nil for plain services.
 	Engine *Engine
+	// WarmupTime is how long a target warms after it starts. It is part of the
+	// document, but routers go by what targets announce.
+	WarmupTime time.Duration
+	// WarmupRate is how many requests a second a warming target can handle. Zero
+	// means that there is no limit.
+	WarmupRate float64
 }
 
 // Engine describes a model engine.
@@ -55,6 +61,14 @@
 // Routers do not enforce it.
 func (s Service) MaxConnections() int { return s.config.MaxConnections }
 
+// WarmupTime returns how long a target warms after it starts. Routers go by what
+// targets announce.
+func (s Service) WarmupTime() time.Duration { return s.config.WarmupTime }
+
+// WarmupRate returns how many requests a second a warming target can handle, or zero
+// if there is no limit.
+func (s Service) WarmupRate() float64 { return s.config.WarmupRate }
+
 // Engine returns the description of the targets if they are model engines.
 func (s Service) Engine() (Engine, bool) {
 	if s.config.Engine == nil {
@@ -147,6 +161,9 @@
 		if _, taken := catalogue.services[s.Name()]; taken || s.Name() == "" {
 			return nil, errors.Errorf("service %q: the name is empty or already in use", s.Name())
 		}
+		if s.config.WarmupTime < 0 || s.config.WarmupRate < 0 {
+			return nil, errors.Errorf("service %q: the warm-up time or rate is negative", s.Name())
+		}
 		catalogue.services[s.Name()] = s
 	}
 	for _, r := range c.Routes {
@@ -227,6 +244,18 @@
 	return s, ok
 }
 
+// WarmupRates returns how many requests a second a warming target can handle, by the
+// name of its service. Services without such a limit are left out.
+func (c *Catalogue) WarmupRates() map[string]float64 {
+	rates := map[string]float64{}
+	for name, s := range c.services {
+		if rate := s.WarmupRate(); rate > 0 {
+			rates[name] = rate
+		}
+	}
+	return rates
+}
+
 // Organisation returns the organisation that the API key belongs to.
 func (c *Catalogue) Organisation(key string) (Organisation, bool) {
 	o, ok := c.organisationsByKey[key]
