--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -104,19 +104,14 @@
 func (s *Sharer) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() {
-		repeater.New(repeater.Config{Interval: candidateInterval, Step: func(context.Context) { s.recordCandidates(time.Now()) }}).Run(ctx)
+		repeater.New(repeater.Config{Interval: candidateInterval, AtStart: true, Step: func(context.Context) {
+			s.ranks.Record(s.config.Candidates(), time.Now())
+		}}).Run(ctx)
 	})
 	defer running.Wait()
 	repeater.New(repeater.Config{Interval: reportInterval, Step: func(context.Context) { s.report(time.Now()) }}).Run(ctx)
 }
 
-// recordCandidates records the present candidates, which matter for warming targets only.
-func (s *Sharer) recordCandidates(now time.Time) {
-	if s.hasWarmupRates.Load() {
-		s.ranks.Record(s.config.Candidates(), now)
-	}
-}
-
 // report logs the limits for which this process has been asked for permits.
 func (s *Sharer) report(now time.Time) {
 	for _, u := range s.limiter.Usage(now) {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -130,3 +131,35 @@
 		}
 	}
 }
+
+// Guards against a warm-up that depends on the clocks of VMs or on the age of an entry, and
+// against builds that do not understand each other's entries.
+func TestWarmupIsPartOfAnnouncements(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	a, err := selector.AnnouncementFrom(entry(t, c, 1, "serving", 4))
+	if err != nil || !a.WarmupEndsAt().IsZero() {
+		t.Fatalf("%v, warming until %s without a statement", err, a.WarmupEndsAt())
+	}
+	e, err := a.WithWarmupEndsAt(c.now.Add(20 * time.Second)).Entry(c.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlierBuild [2]int64
+	if err := json.Unmarshal(e.Load(), &earlierBuild); err != nil {
+		t.Errorf("an earlier build cannot decode %s: %v", e.Load(), err)
+	}
+	elsewhere := c.now.Add(-time.Hour) // by another clock
+	data, err := disseminator.EncodeUpdates([]disseminator.Update{disseminator.NewUpdate(e)}, c.now.Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received []disseminator.Entry
+	d := disseminator.New(disseminator.Config{Now: func() time.Time { return elsewhere }, OnChange: func(entries []disseminator.Entry) { received = entries }})
+	if err := d.Receive(nil, data); err != nil || len(received) != 1 {
+		t.Fatalf("%v, %d entries", err, len(received))
+	}
+	a, err = selector.AnnouncementFrom(received[0])
+	if remaining := a.WarmupEndsAt().Sub(elsewhere); err != nil || remaining != 19*time.Second {
+		t.Errorf("%v, %s remain of the warm-up, want 19 s", err, remaining)
+	}
+}
