--- a/internal/limiter/warmup_test.go
+++ b/internal/limiter/warmup_test.go
@@ -66,7 +66,7 @@
 // not heard of a long warm-up and grants more, or that forgets a limit which the target names.
 func TestLowerOfTwoLimitsIsInForce(t *testing.T) {
 	for _, named := range []float64{1, 1000} {
-		router, limit := limited(t, "router-1", named)
+		router, limit := limited(t, "router-3", named)
 		router.SetWarmupRates(map[string]float64{service: 4})
 		w := limiter.NewWarmup(limiter.WarmupConfig{Target: targetName, Incarnation: 1 << 40, Services: []string{service}, EndsAt: start.Add(50 * time.Minute)})
 		entry, err := w.Entry()
