gateway: coordinators pass warm-ups that responses state on to routers that are no lenders

While control cannot be reached the lenders alone were told. TestCoordinatorsForwardWarmupsOnce fails without it, and without the tolerance for ends that hardly differ.

--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 // applyAdvice acts on what a target says about itself in a response.
@@ -46,11 +48,25 @@
 	if !g.spender.Disconnected(now) && len(g.controlPeers()) > 0 {
 		return nil
 	}
+	return g.sendEntry(e, g.lenderPeers(), now)
+}
+
+// forward sends an entry that this lender has received to the routers that are no lenders.
+func (g *Gateway) forward(e disseminator.Entry) {
+	lenders := *g.lenderVMs.Load()
+	peers := slices.DeleteFunc(g.peersOf(linker.Router), func(p *linker.Peer) bool { return lenders[p.Identity().Process().VM()] })
+	if err := g.sendEntry(e, peers, time.Now()); err != nil {
+		g.log.Warn("cannot pass an entry on", zap.String("key", e.Key()), recorder.Err(err))
+	}
+}
+
+// sendEntry sends an entry to peers, apart from the updates over links to control.
+func (g *Gateway) sendEntry(e disseminator.Entry, peers []*linker.Peer, now time.Time) error {
 	body, err := disseminator.EncodeUpdates([]disseminator.Update{disseminator.NewUpdate(e)}, now)
 	if err != nil {
 		return err
 	}
-	for _, peer := range g.lenderPeers() {
+	for _, peer := range peers {
 		if err := peer.Notify(messenger.Updates, body); err != nil {
 			g.log.Debug("cannot send an entry to a router", zap.Stringer("peer", peer.Identity().Process()), recorder.Err(err))
 		}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -22,6 +22,7 @@
 		Candidates: func() []string { return slices.Collect(maps.Keys(*g.lenderVMs.Load())) },
 		Peer:       g.lenderPeer,
 		Publish:    g.publish,
+		Forward:    g.forward,
 		Metrics:    g.metrics,
 		Log:        g.log,
 	})
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -15,7 +15,7 @@
 // (SizeRanker): the others cost those targets least.
 //
 // A target that warms up has a limit as well: that of its service, until the end of the warm-up
-// (Announce, ObserveWarmup, ApplyWarmup). The load: all targets of a data centre start at
+// (Announce, ExtendWarmup). The load: all targets of a data centre start at
 // once and end under more than a few requests a second. All routers know the limit from the
 // announcement, without a response. Its permits go to the smallest requests, and its coordinators
 // grant fewer at once, since the bound is on the requests in one second.
--- a/internal/limiter/warmup.go
+++ b/internal/limiter/warmup.go
@@ -7,8 +7,8 @@
 	"radishshed.example/radishshed/internal/adviser"
 )
 
-// ignoredExtension is by how much later a response may state the end of a warm-up without
-// being reported to other routers. Responses take unequal times.
+// ignoredExtension is by how much later a response may state the end of a warm-up without an
+// effect. Responses take unequal times.
 const ignoredExtension = 250 * time.Millisecond
 
 // warmup is what is known about the warm-up of a run of a target.
@@ -113,40 +113,25 @@
 	return true
 }
 
-// ObserveWarmup records the warm-up that a response of a target states. It reports whether
-// other routers have to be told of it. It returns ErrFull if the warm-up cannot be recorded.
-func (l *Limiter) ObserveWarmup(w Warmup, now time.Time) (bool, error) {
+// ExtendWarmup records a warm-up that a response of a target states, here or at another process.
+// It reports whether the warm-up ends later than it did by so much that other routers have to
+// be told. It returns ErrFull if the warm-up cannot be recorded.
+func (l *Limiter) ExtendWarmup(w Warmup, now time.Time) (bool, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	var before time.Time
-	if t, ok := l.targets[w.config.Target]; ok && t.incarnation == w.config.Incarnation {
-		before = t.warmup.endsAt()
-	}
-	if now.Before(before) && !w.config.EndsAt.After(before.Add(ignoredExtension)) {
-		return false, nil
-	}
-	return l.extend(w, now)
-}
-
-// ApplyWarmup records a warm-up that another process has reported. It reports whether it ends
-// later than the known one. It returns ErrFull if the warm-up cannot be recorded.
-func (l *Limiter) ApplyWarmup(w Warmup, now time.Time) (bool, error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.extend(w, now)
-}
-
-func (l *Limiter) extend(w Warmup, now time.Time) (bool, error) {
 	c := w.config
 	t, known := l.targets[c.Target]
 	if l.warmupRate(c.Services) == 0 || known && t.incarnation > c.Incarnation || !now.Before(c.EndsAt) {
 		return false, nil
 	}
 	t, err := l.run(c.Target, c.Incarnation, now)
-	if err != nil || !c.EndsAt.After(t.warmup.endsAt()) {
+	if err != nil {
 		return false, err
 	}
 	wasWarming := l.isWarming(t, now)
+	if wasWarming && !c.EndsAt.After(t.warmup.endsAt().Add(ignoredExtension)) {
+		return false, nil
+	}
 	t.warmup.services, t.warmup.observedEnd = c.Services, c.EndsAt
 	t.warmingChanged(wasWarming, l.isWarming(t, now), now)
 	return true, nil
--- a/internal/limiter/warmup_replay_test.go
+++ b/internal/limiter/warmup_replay_test.go
@@ -279,11 +279,11 @@
 func (f *warmReplay) shareResponses(endsAt time.Time) {
 	for _, target := range f.targets {
 		w := limiter.NewWarmup(limiter.WarmupConfig{Target: target.name, Incarnation: target.incarnation, Services: []string{service}, EndsAt: endsAt})
-		if report, _ := f.routers[3].limiter.ObserveWarmup(w, f.now); !report {
+		if report, _ := f.routers[3].limiter.ExtendWarmup(w, f.now); !report {
 			continue
 		}
 		for _, r := range f.routers {
-			_, _ = r.limiter.ApplyWarmup(w, f.now) // as above
+			_, _ = r.limiter.ExtendWarmup(w, f.now) // as above
 		}
 	}
 }
--- a/internal/limiter/warmup_test.go
+++ b/internal/limiter/warmup_test.go
@@ -76,7 +76,7 @@
 		if w, err = limiter.WarmupFrom(entry); err != nil {
 			t.Fatal(err)
 		}
-		if extended, err := router.ApplyWarmup(w, start); err != nil || !extended {
+		if extended, err := router.ExtendWarmup(w, start); err != nil || !extended {
 			t.Fatalf("extended %t, %v", extended, err)
 		}
 		coordinator := limiter.New(limiter.Config{VM: "router-2"})
--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -54,6 +54,8 @@
 	Peer func(vm string) (Peer, bool)
 	// Publish distributes an entry to the other processes. Required.
 	Publish func(disseminator.Entry) error
+	// Forward, if set, sends an entry to the processes that are no candidates.
+	Forward func(disseminator.Entry)
 	// Metrics receives the counters. Required.
 	Metrics metrics.Registry
 	// Log receives a line for each change of a limit, and its use. Required.
--- a/internal/limitsharer/limitsharer_test.go
+++ b/internal/limitsharer/limitsharer_test.go
@@ -17,6 +17,7 @@
 	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/limitsharer"
+	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
@@ -33,6 +34,8 @@
 	// down is whether calls to it are not answered, and calls counts them.
 	down  bool
 	calls int
+	// forwarded counts the entries that it passes on.
+	forwarded int
 }
 
 // Call implements limitsharer.Peer.
@@ -63,6 +66,7 @@
 				}
 				return nil
 			},
+			Forward: func(disseminator.Entry) { fleet[vm].forwarded++ },
 			Metrics: metrics.NewRegistry(), Log: zap.New(core),
 		})
 	}
@@ -138,3 +142,37 @@
 		t.Errorf("%d lines, want one", lines)
 	}
 }
+
+// Guards against a warm-up in a response that only lenders hear of while control cannot be
+// reached, and against a flood of entries about ends that hardly differ.
+func TestCoordinatorsForwardWarmupsOnce(t *testing.T) {
+	fleet := newFleet(6)
+	now := time.Now()
+	a, err := selector.NewAnnouncement(selector.AnnouncementConfig{
+		Name: targetName, Address: "127.0.0.1:1", Incarnation: incarnation, Sequence: 1, Services: []string{"app"}, Capacity: 1, State: selector.Serving{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range fleet {
+		p.sharer.SetWarmupRates(map[string]float64{"app": 4}, func() []disseminator.Entry { return nil }, now)
+	}
+	order := limiter.Coordinators(targetName, slices.Sorted(keysOf(fleet)))
+	for vm, p := range fleet {
+		if slices.Contains(order, vm) {
+			continue
+		}
+		for _, millis := range []float64{20_000, 20_100} {
+			p.sharer.ObserveWarmup(a, adviser.New(adviser.Config{Warmup: adviser.NewWarming(millis, now)}), now)
+		}
+	}
+	for vm, p := range fleet {
+		want := 0
+		if slices.Contains(order, vm) {
+			want = 1
+		}
+		if p.forwarded != want || !slices.Contains(p.sharer.Limited(now), targetName) {
+			t.Errorf("%s forwarded %d entries, want %d; it keeps to %v", vm, p.forwarded, want, p.sharer.Limited(now))
+		}
+	}
+}
--- a/internal/limitsharer/warmup.go
+++ b/internal/limitsharer/warmup.go
@@ -1,6 +1,7 @@
 package limitsharer
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,7 +37,7 @@
 		warmup := limiter.NewWarmup(limiter.WarmupConfig{
 			Target: target.Name(), Incarnation: target.Incarnation(), Services: target.Services(), EndsAt: w.Until(),
 		})
-		report, err := s.limiter.ObserveWarmup(warmup, now)
+		report, err := s.limiter.ExtendWarmup(warmup, now)
 		if err != nil {
 			s.logUnrecorded(target.Name(), err)
 			return
@@ -80,16 +81,26 @@
 			s.config.Log.Warn("cannot decode the warm-up of a target", zap.String("key", e.Key()), recorder.Err(err))
 			return
 		}
-		extended, err := s.limiter.ApplyWarmup(w, now)
+		extended, err := s.limiter.ExtendWarmup(w, now)
 		if err != nil {
 			s.logUnrecorded(w.Target(), err)
 		}
 		if extended {
 			s.logWarmup(w.Target(), w.EndsAt(), "process", now)
+			s.forward(w.Target(), e)
 		}
 	}
 }
 
+// forward passes the warm-up of a target on if this process is one of the target's coordinators.
+// A router that has no link to control tells the lenders only, and others may lack such a link
+// as well.
+func (s *Sharer) forward(target string, e disseminator.Entry) {
+	if s.config.Forward != nil && slices.Contains(s.coordinators(target), s.config.VM) {
+		s.config.Forward(e)
+	}
+}
+
 func (s *Sharer) applyAnnouncement(a selector.Announcement, now time.Time) {
 	endsAt := a.WarmupEndsAt()
 	if endsAt.IsZero() {
