configurer: numbers and durations of settings may have fractions and exponents

Fractions are rounded up for a minimum and down for memory. A number that is negative, out of range or not finite is refused with its file, field and value.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -46,9 +46,9 @@
 }
 
 type jsonRetries struct {
-	Ratio   float64 `json:"ratio" validate:"gte=0,lte=1"`
-	Minimum int64   `json:"minimum" validate:"gte=0"`
-	Window  string  `json:"window" validate:"required"`
+	Ratio   jsonNumber `json:"ratio"`
+	Minimum jsonNumber `json:"minimum"`
+	Window  string     `json:"window" validate:"required"`
 }
 
 type jsonSettings struct {
@@ -66,8 +66,8 @@
 	OpenLinks         bool         `json:"openLinks,omitempty"`
 	FirstStart        bool         `json:"firstStart,omitempty"`
 	ReadyAddress      string       `json:"readyAddress,omitempty" validate:"omitempty,hostname_port"`
-	MemoryMB          int64        `json:"memoryMegabytes,omitempty" validate:"gte=0"`
-	LinkMegabits      float64      `json:"linkMegabits,omitempty" validate:"gte=0"`
+	MemoryMB          jsonNumber   `json:"memoryMegabytes,omitempty"`
+	LinkMegabits      jsonNumber   `json:"linkMegabits,omitempty"`
 	Retries           *jsonRetries `json:"retries,omitempty"`
 	DataFolder        string       `json:"dataFolder,omitempty"`
 	FleetKeyFile      string       `json:"fleetKeyFile,omitempty" validate:"required_without=OpenLinks,excluded_with=OpenLinks"`
@@ -76,7 +76,7 @@
 	LogLevel          string       `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 	DrainNotice       string       `json:"drainNotice,omitempty"`
 	GracePeriod       string       `json:"gracePeriod,omitempty"`
-	MaxEventKB        int          `json:"maxEventKilobytes,omitempty" validate:"gte=0"`
+	MaxEventKB        jsonNumber   `json:"maxEventKilobytes,omitempty"`
 }
 
 // ruleMessages maps each validation rule to the message about a field that violates
@@ -89,8 +89,6 @@
 	"oneof":            "is not a log level: use debug, info, warn or error",
 	"required_without": "is missing: set it or its alternative (controlAddresses or seeds, fleetKeyFile or openLinks)",
 	"excluded_with":    "cannot be combined with openLinks: remove one of them",
-	"gte":              "is too small: use zero or more",
-	"lte":              "is too large: use one at most",
 }
 
 // Role is the kind of process that the settings are for. It only selects which
@@ -129,6 +127,9 @@
 		if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
 			return w, errors.Errorf("%s: unknown field: remove it or correct its name", strings.Trim(field, `"`))
 		}
+		if err := nonFiniteError(data); err != nil {
+			return w, err
+		}
 		return w, errors.Errorf("not valid JSON settings: %v", err)
 	}
 	if _, err := decoder.Token(); err != io.EOF {
@@ -154,6 +155,10 @@
 }
 
 func newSettings(w jsonSettings, role Role, folder string) (Settings, error) {
+	n, err := parseNumbers(w)
+	if err != nil {
+		return Settings{}, err
+	}
 	s := Settings{
 		vm:                 w.VM,
 		dataCentre:         w.DataCentre,
@@ -166,9 +171,9 @@
 		drainDelay:         defaultDrainDelay,
 		readyAddress:       w.ReadyAddress,
 		firstStart:         w.FirstStart,
-		memoryLimitBytes:   w.MemoryMB << 20,
-		linkBytesPerSecond: w.LinkMegabits * bytesPerMegabit,
-		maxEventBytes:      w.MaxEventKB << 10,
+		memoryLimitBytes:   int64(n.memoryMB) << 20,
+		linkBytesPerSecond: n.linkMegabits * bytesPerMegabit,
+		maxEventBytes:      int(n.maxEventKB) << 10,
 	}
 	if s.maxEventBytes == 0 {
 		s.maxEventBytes = defaultMaxEventBytes
@@ -182,9 +187,8 @@
 	if err := s.setRole(w, role, folder); err != nil {
 		return s, err
 	}
-	var err error
 	if w.DrainNotice != "" {
-		if s.drainDelay, err = time.ParseDuration(w.DrainNotice); err != nil || s.drainDelay < 0 {
+		if s.drainDelay, err = parseDuration(w.DrainNotice); err != nil || s.drainDelay < 0 {
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
@@ -194,7 +198,7 @@
 	if err := s.setLinks(w, folder); err != nil {
 		return s, err
 	}
-	if err := s.setRetries(w.Retries); err != nil {
+	if err := s.setRetries(w.Retries, n); err != nil {
 		return s, errors.Wrap(err, "retries")
 	}
 	if s.operatorKeyHashes, err = archiver.ParseHashes(w.OperatorKeyHashes); err != nil {
@@ -218,7 +222,7 @@
 		return nil
 	}
 	var err error
-	if s.gracePeriod, err = time.ParseDuration(text); err != nil || s.gracePeriod <= 0 {
+	if s.gracePeriod, err = parseDuration(text); err != nil || s.gracePeriod <= 0 {
 		return errors.Errorf(`%s: %q is not a duration above zero: use the form "30s"`, name, text)
 	}
 	return nil
@@ -249,15 +253,15 @@
 	return errors.Wrap(err, "fleetKeyFile")
 }
 
-func (s *Settings) setRetries(w *jsonRetries) error {
+func (s *Settings) setRetries(w *jsonRetries, n numbers) error {
 	if w == nil {
 		return nil
 	}
-	window, err := time.ParseDuration(w.Window)
+	window, err := parseDuration(w.Window)
 	if err != nil || window <= 0 {
 		return errors.Errorf(`window: %q is not a duration: use the form "10s"`, w.Window)
 	}
-	s.retryBudget = RetryBudget{w.Ratio, w.Minimum, window}
+	s.retryBudget = RetryBudget{n.retryRatio, int64(n.minimumRetries), window}
 	return nil
 }
 
