home regions: requests stay in the allowed_regions of their route and organisation

Routes and tenants of a configuration may have allowed_regions; the regions of data centres are the setting regions or RADISHSHED_REGIONS. Targets are filtered in the placer, so first attempts, retries and resumptions obey; relays are filtered by the context of the attempt. Without a usable target at home: 503 noHomeTarget at once. Nothing changes for routes and organisations without home regions.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -1,8 +1,8 @@
 // Package configurer loads and validates the settings of a process.
 //
 // Settings come from a JSON file: environment variables and flags do not override
-// them. The only exception is GracePeriodVariable, which earlier builds ignore, while
-// they refuse a file with a field that they do not know. An invalid setting is reported
+// them. The only exceptions are GracePeriodVariable and RegionsVariable, which earlier
+// builds ignore, while they refuse a file with a field that they do not know. An invalid setting is reported
 // in one line that names the file and the field and says how to correct it.
 package configurer
 
@@ -30,6 +30,10 @@
 // settings file does not set it.
 const GracePeriodVariable = "RADISHSHED_GRACE_PERIOD"
 
+// RegionsVariable is the environment variable with the regions of the data centres, as a JSON
+// object, of a process whose settings file does not set them.
+const RegionsVariable = "RADISHSHED_REGIONS"
+
 const (
 	defaultDrainDelay = 5 * time.Second
 	bytesPerMegabit   = 125_000
@@ -77,6 +81,8 @@
 	DrainNotice       string       `json:"drainNotice,omitempty"`
 	GracePeriod       string       `json:"gracePeriod,omitempty"`
 	MaxEventKB        jsonNumber   `json:"maxEventKilobytes,omitempty"`
+	// Regions maps data centres to regions.
+	Regions map[string]string `json:"regions,omitempty"`
 }
 
 // ruleMessages maps each validation rule to the message about a field that violates
@@ -195,6 +201,9 @@
 	if err := s.setGracePeriod(w.GracePeriod, os.Getenv(GracePeriodVariable)); err != nil {
 		return s, err
 	}
+	if s.regions, err = parseRegions(w.Regions, os.Getenv(RegionsVariable)); err != nil {
+		return s, err
+	}
 	if err := s.setLinks(w, folder); err != nil {
 		return s, err
 	}
@@ -228,6 +237,20 @@
 	return nil
 }
 
+// parseRegions returns the regions of the data centres from the settings file or else from the
+// environment.
+func parseRegions(fromFile map[string]string, fromEnvironment string) (map[string]string, error) {
+	if len(fromFile) > 0 || fromEnvironment == "" {
+		return fromFile, nil
+	}
+	var regions map[string]string
+	if err := json.Unmarshal([]byte(fromEnvironment), &regions); err != nil {
+		return nil, errors.Errorf(`%s: %q is not a JSON object from data centre to region: use the form {"a": "north"}`,
+			RegionsVariable, fromEnvironment)
+	}
+	return regions, nil
+}
+
 // unauthenticatedLinkKey replaces the fleet key if links are not authenticated. The
 // key is not a secret.
 const unauthenticatedLinkKey = "links without a fleet key"
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -32,6 +32,7 @@
 	linkBytesPerSecond   float64
 	retryBudget          RetryBudget
 	maxEventBytes        int
+	regions              map[string]string
 }
 
 // RetryBudget limits the retries of the fleet: in each window, the fleet may retry a
@@ -77,6 +78,9 @@
 // MaxEventBytes returns the size limit of one event of a target's stream.
 func (s Settings) MaxEventBytes() int { return s.maxEventBytes }
 
+// Regions returns the region of each data centre that has one.
+func (s Settings) Regions() map[string]string { return s.regions }
+
 // RetryBudget returns the limits on the retries of the fleet.
 func (s Settings) RetryBudget() RetryBudget { return s.retryBudget }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,7 +49,7 @@
 	}
 	var metadata ResponseMetadata
 	targetRequest := q.targetRequest(target, &metadata)
-	attemptCtx, endAttempt := context.WithCancel(ctx)
+	attemptCtx, endAttempt := context.WithCancel(q.withRelayFilter(ctx))
 	defer endAttempt()
 	q.recordOrigin()
 	if q.repeatable() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/regionselector"
 	"radishshed.example/radishshed/internal/relayer"
 	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/internal/requesttracker"
@@ -123,6 +124,8 @@
 	origins                         *originsharer.Sharer
 	relays                          *relayer.Relayer
 	relayCandidates                 atomic.Pointer[[]relayselector.Candidate]
+	regions                         atomic.Pointer[regionselector.Selector]
+	hadHomeRegions                  atomic.Bool   // whether a catalogue with home regions has been in force
 	linkUtilisation                 atomic.Uint64 // share of the link in use, as the bits of a float64
 }
 
@@ -194,10 +197,11 @@
 }
 
 // Reload applies the settings that may change while the process runs: the addresses of
-// control VMs.
+// control VMs and the regions of data centres.
 func (g *Gateway) Reload(settings configurer.Settings) {
 	addresses := settings.ControlAddresses()
 	g.addresses.Store(&addresses)
+	g.setRegions(settings)
 }
 
 // Run serves requests until the context ends, and then drains: it continues to serve
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -301,6 +301,7 @@
 	if err != nil {
 		return err
 	}
+	g.prepareHomeRegions(catalogue)
 	previous := g.catalogueRecord.Load().Version()
 	g.catalogue.Store(catalogue)
 	g.catalogueRecord.Store(&record)
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -18,6 +18,8 @@
 	resumed     metrics.Counter
 	borrowed    metrics.Counter
 	connections metrics.Counter
+	// withoutHomeTarget counts the refusals for want of a usable target in the home regions.
+	withoutHomeTarget metrics.Counter
 	// investigationsSkipped counts the failed attempts that were not investigated, since
 	// too many were under way.
 	investigationsSkipped metrics.Counter
@@ -41,6 +43,7 @@
 		borrowed:    counter("requestsFundedByOthers"),
 		connections: counter("targetConnections"),
 
+		withoutHomeTarget:     counter("requestsWithoutHomeTarget"),
 		investigationsSkipped: counter("investigationsSkipped"),
 
 		firstByte: histogram("firstByteMilliseconds"),
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -87,6 +87,9 @@
 	}
 	software := v.Software()
 	q.service, q.onlyVersion = service, &software
+	if r := q.homeRefusal(); r != nil {
+		return r
+	}
 	if q.gateway.placer.CountUsable(q.placementRequest(time.Now(), nil)) == 0 {
 		return newRefusal(http.StatusServiceUnavailable, "versionGone", versionRetryAfter, zap.String("softwareVersion", software))
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -67,7 +67,7 @@
 func (q *request) placementRequest(now time.Time, exclude []string) placer.Request {
 	return placer.Request{
 		Service: q.service.Name(), SoftwareVersion: q.onlyVersion, Exclude: exclude,
-		IgnoreLeases: q.gateway.inLeaseGrace(now), Now: now,
+		Allows: q.allowsDataCentre(), IgnoreLeases: q.gateway.inLeaseGrace(now), Now: now,
 	}
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -41,7 +41,7 @@
 }
 
 // placementRefusal returns the refusal of a request for which no target could be chosen.
-func placementRefusal(err error) *refusal {
+func (q *request) placementRefusal(err error) *refusal {
 	var overload *placer.OverloadError
 	if errors.As(err, &overload) {
 		return newRefusal(http.StatusServiceUnavailable, "overloaded", max(targetRetryAfter, overload.RetryAfter()),
@@ -56,6 +56,9 @@
 		return newRefusal(http.StatusServiceUnavailable, "targetsLimited", max(targetRetryAfter, time.Until(usedUp.FreeAt())),
 			zap.Strings("targets", usedUp.Targets()), zap.Int("permitRequests", usedUp.PermitRequests()))
 	}
+	if r := q.homeRefusal(); r != nil {
+		return r
+	}
 	return newRefusal(http.StatusServiceUnavailable, "noTarget", targetRetryAfter)
 }
 
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -41,8 +41,10 @@
 		MaxRelayed:  maxRelayed,
 		WrapCarried: g.byteCounter.WrapConnection,
 		OnChange:    g.pathChanged,
-		Metrics:     g.metrics,
-		Log:         g.log,
+		// A pooled connection may pass through a region that must not carry another request.
+		ReusesRelayed: func() bool { return !g.hadHomeRegions.Load() },
+		Metrics:       g.metrics,
+		Log:           g.log,
 	})
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -15,6 +15,7 @@
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/regionselector"
 	"radishshed.example/radishshed/internal/relayer"
 	"radishshed.example/radishshed/internal/requesttracker"
 	"radishshed.example/radishshed/pkg/state/cataloguer"
@@ -48,6 +49,7 @@
 	route        cataloguer.Route
 	service      cataloguer.Service
 	organisation string
+	homes        regionselector.Selection // where the request may be sent
 	priority     int
 	body         []byte
 	// cachedIdentity is what identity returns, once it has been computed.
@@ -102,6 +104,10 @@
 		q.refuse(refusal)
 		return
 	}
+	if refusal := q.homeRefusal(); refusal != nil {
+		q.refuse(refusal)
+		return
+	}
 	if refusal := q.reserve(ctx); refusal != nil {
 		q.refuse(refusal)
 		return
@@ -136,6 +142,7 @@
 		q.organisation = organisation.Name()
 		q.priority = organisation.Priority(q.route)
 	}
+	q.homes = g.regions.Load().Select(q.route.HomeRegions(), organisation.HomeRegions())
 	q.service, ok = q.catalogue.Service(q.route.PickService(rand.Int64N))
 	if !ok {
 		return newRefusal(http.StatusServiceUnavailable, "noService", startingRetryAfter)
@@ -209,9 +216,13 @@
 			q.giveUp(r)
 			return
 		}
+		if r := q.homeRefusal(); r != nil {
+			q.giveUp(r)
+			return
+		}
 		placement, err := q.acquirePlacement(ctx)
 		if err != nil {
-			q.giveUp(placementRefusal(err))
+			q.giveUp(q.placementRefusal(err))
 			return
 		}
 		q.gateway.notifyPrefill(placement)
@@ -280,7 +291,7 @@
 		return false
 	}
 	now := time.Now()
-	if q.gateway.placer.CountUsable(q.placementRequest(now, q.excluded)) == 0 {
+	if !q.hasHomeTarget() || q.gateway.placer.CountUsable(q.placementRequest(now, q.excluded)) == 0 {
 		return false
 	}
 	return q.gateway.retrier.Allow(q.service.Name(), now)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -237,6 +237,17 @@
 	return len(p.usable(r))
 }
 
+// Unavailable returns why no target can be chosen for a request: ErrNoTarget or a PausedError.
+// It returns nil if there is one.
+func (p *Placer) Unavailable(r Request) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.usable(r)) > 0 {
+		return nil
+	}
+	return p.reasonForNone(r)
+}
+
 // Choose chooses a target for a request.
 func (p *Placer) Choose(r Request) (*Placement, error) {
 	p.mutex.Lock()
--- a/internal/relayer/connection.go
+++ b/internal/relayer/connection.go
@@ -23,8 +23,10 @@
 }
 
 // Reusable reports whether another request may use the connection. Relayed ones are not kept
-// once the path is back.
-func (c *connection) Reusable() bool { return !c.relayed || c.relayer.Lost() }
+// once the path is back, and not if another request may be one that their relay must not carry.
+func (c *connection) Reusable() bool {
+	return !c.relayed || c.relayer.Lost() && c.relayer.config.ReusesRelayed()
+}
 
 // carriedConnection is a connection that this router has opened for another one.
 type carriedConnection struct {
--- a/internal/relayer/dial.go
+++ b/internal/relayer/dial.go
@@ -110,8 +110,13 @@
 // dialRelayed opens a connection through another router.
 func (r *Relayer) dialRelayed(ctx context.Context, address string) (net.Conn, error) {
 	err := errNoRelay
+	allows := filterFrom(ctx)
+	if allows != nil && !hasAllowed(r.config.Candidates(), allows) {
+		r.notAllowed.Inc(1)
+		return nil, errNoAllowedRelay
+	}
 	for range maxRelayAttempts {
-		relay, ok := r.selector.Choose(r.config.Candidates(), time.Now())
+		relay, ok := r.selector.ChooseAllowed(r.config.Candidates(), allows, time.Now())
 		if !ok {
 			return nil, err
 		}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -58,6 +58,9 @@
 	MaxRelayed int
 	// OnChange is called when the path has been lost or is back. Required.
 	OnChange func(lost bool)
+	// ReusesRelayed reports whether several requests may use one relayed connection. Default:
+	// they may.
+	ReusesRelayed func() bool
 	// Metrics receives the counters. Required.
 	Metrics metrics.Registry
 	// Log receives a line for each loss of the path and its end. Required.
@@ -72,7 +75,7 @@
 	// relayed is the number of open connections for other routers.
 	relayed atomic.Int64
 
-	opened, refused, carried metrics.Counter
+	opened, refused, carried, notAllowed metrics.Counter
 
 	probing sync.Mutex // held during probes
 
@@ -84,11 +87,15 @@
 
 // New returns a Relayer for a path that works.
 func New(c Config) *Relayer {
+	if c.ReusesRelayed == nil {
+		c.ReusesRelayed = func() bool { return true }
+	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, c.Metrics) }
 	return &Relayer{
 		config: c, monitor: pathmonitor.New(time.Now()), selector: relayselector.New(relayselector.Config{DataCentre: c.DataCentre}),
 		opened: counter("relayedConnections"), refused: counter("relaysRefused"), carried: counter("connectionsRelayedForOthers"),
-		lost: make(chan struct{}), attempts: map[*Attempt]bool{},
+		notAllowed: counter("relaysNotAllowed"),
+		lost:       make(chan struct{}), attempts: map[*Attempt]bool{},
 	}
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -34,12 +35,16 @@
 	endpoint *linker.Endpoint
 	server   *httptest.Server
 	cut      atomic.Bool
+
+	dataCentre    string // "a" if it is empty
+	reusesRelayed atomic.Bool
 }
 
 // newRouter returns a router that knows the targets and may relay through others.
 func newRouter(t *testing.T, name string, targets []string, others ...*router) *router {
 	t.Helper()
 	r := &router{}
+	r.reusesRelayed.Store(true)
 	var err error
 	r.endpoint, err = linker.New(linker.Config{
 		Identity: linker.NewIdentity(identifier.NewProcess(name, 1), "a", linker.Router, ""), FleetKey: []byte(key),
@@ -51,7 +56,7 @@
 	var candidates []relayselector.Candidate
 	for _, o := range others {
 		address := strings.TrimPrefix(o.server.URL, "http://")
-		candidates = append(candidates, relayselector.NewCandidate(address, address, "a"))
+		candidates = append(candidates, relayselector.NewCandidate(address, address, cmp.Or(o.dataCentre, "a")))
 	}
 	r.relayer = relayer.New(relayer.Config{
 		DataCentre: "a", Tunneller: func() relayer.Tunneller { return r.endpoint }, MaxRelayed: 10,
@@ -64,7 +69,7 @@
 		Targets:    func() []string { return append([]string(nil), targets...) },
 		Candidates: func() []relayselector.Candidate { return candidates },
 		Load:       func() float64 { return 0 }, Draining: func() bool { return false },
-		WrapCarried: func(c net.Conn) net.Conn { return c }, OnChange: func(bool) {},
+		WrapCarried: func(c net.Conn) net.Conn { return c }, OnChange: func(bool) {}, ReusesRelayed: r.reusesRelayed.Load,
 		Metrics: metrics.NewRegistry(), Log: zap.NewNop(),
 	})
 	r.server = httptest.NewServer(linker.NewTunnels(r.endpoint, r.relayer.Accept))
@@ -226,6 +231,43 @@
 	}
 }
 
+// Guards against a request that a router carries in whose region it must not pass, and against a
+// relayed connection that such a request finds in the pool.
+func TestOnlyRoutersOfAllowedDataCentresCarry(t *testing.T) {
+	_, near, target := newPair(t, func(net.Conn) {})
+	far := newRouter(t, "far", []string{target.address()})
+	far.dataCentre = "b"
+	lost := newRouter(t, "lost-too", []string{target.address(), near.server.Listener.Addr().String()}, near, far)
+	lost.cut.Store(true)
+	for _, c := range []struct {
+		allowed   string
+		near, far int64
+	}{{"a", 4, 0}, {"b", 4, 4}, {"c", 4, 4}} {
+		allows := func(dataCentre string) bool { return dataCentre == c.allowed }
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		for range 4 {
+			socket, err := lost.relayer.Dial(relayer.WithFilter(ctx, allows), target.address())
+			if reaches := lost.relayer.Reaches(allows); (err == nil) != (c.allowed != "c") || reaches != (err == nil) {
+				t.Fatalf("%s: %v, targets are reachable: %t", c.allowed, err, reaches)
+			}
+			if err != nil {
+				continue
+			}
+			defer func() { _ = socket.Close() }() // nothing was sent
+			for _, want := range []bool{true, false} {
+				lost.reusesRelayed.Store(want)
+				if got := socket.(interface{ Reusable() bool }).Reusable(); got != want {
+					t.Errorf("the connection may be reused: %t, want %t", got, want)
+				}
+			}
+		}
+		if near.relayer.Relayed() != c.near || far.relayer.Relayed() != c.far {
+			t.Errorf("%s: %d and %d connections carried, want %d and %d", c.allowed, near.relayer.Relayed(), far.relayer.Relayed(), c.near, c.far)
+		}
+	}
+}
+
 // Guards against a target that goes on working after the caller has left.
 func TestCancellationReachesTheTarget(t *testing.T) {
 	closed := make(chan struct{})
--- a/internal/relayselector/relayselector.go
+++ b/internal/relayselector/relayselector.go
@@ -45,6 +45,9 @@
 // Address returns the address at which the candidate accepts links.
 func (c Candidate) Address() string { return c.address }
 
+// DataCentre returns the candidate's data centre, or "" if that is not known.
+func (c Candidate) DataCentre() string { return c.dataCentre }
+
 // relay is what is known about a candidate.
 type relay struct {
 	load       float64 // as reported: 1 is full
@@ -81,12 +84,21 @@
 
 // Choose chooses one of the candidates. It reports false if none may be used now.
 func (s *Selector) Choose(candidates []Candidate, now time.Time) (Candidate, bool) {
+	return s.ChooseAllowed(candidates, nil, now)
+}
+
+// ChooseAllowed is Choose among the candidates of the data centres that are allowed. Nil
+// allows all.
+func (s *Selector) ChooseAllowed(candidates []Candidate, allows func(dataCentre string) bool, now time.Time) (Candidate, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.forget(candidates)
 	var near, far []Candidate
 	dataCentres := map[string]bool{s.dataCentre: true}
 	for _, c := range candidates {
+		if allows != nil && !allows(c.dataCentre) {
+			continue
+		}
 		dataCentres[c.dataCentre] = true
 		switch {
 		case now.Before(s.relay(c).avoidUntil):
--- a/internal/relayselector/relayselector_test.go
+++ b/internal/relayselector/relayselector_test.go
@@ -143,3 +143,22 @@
 		}
 	}
 }
+
+// Guards against a relay in a data centre that must not carry the request, and against a choice
+// that forgets what is known of relays which this request may not use.
+func TestOnlyAllowedDataCentresAreChosen(t *testing.T) {
+	s := relayselector.New(relayselector.Config{DataCentre: "dc-0"})
+	all := candidates(6, 3)
+	s.RecordRefused(all[2], start) // in dc-2
+	for range 50 {
+		c, ok := s.ChooseAllowed(all, func(dataCentre string) bool { return dataCentre == "dc-1" }, start)
+		if !ok || c.DataCentre() != "dc-1" {
+			t.Fatalf("%s in %s, %t", c.VM(), c.DataCentre(), ok)
+		}
+	}
+	for range 50 {
+		if c, _ := s.ChooseAllowed(all, func(dataCentre string) bool { return dataCentre == "dc-2" }, start); c.VM() != "router-5" {
+			t.Fatalf("%s chosen, though router-2 has just refused", c.VM())
+		}
+	}
+}
--- a/pkg/state/cataloguer/cataloguer.go
+++ b/pkg/state/cataloguer/cataloguer.go
@@ -74,6 +74,9 @@
 	// PrepaidTokens is the total number of tokens that the organisation may
 	// consume. Nil means unlimited.
 	PrepaidTokens *int64
+	// HomeRegions are the only regions whose targets may get the organisation's requests.
+	// Empty means any.
+	HomeRegions []string
 }
 
 // Organisation is a customer.
@@ -102,6 +105,10 @@
 	return *o.config.PrepaidTokens, true
 }
 
+// HomeRegions returns the only regions whose targets may get the organisation's requests, or
+// nothing if there is no restriction.
+func (o Organisation) HomeRegions() []string { return o.config.HomeRegions }
+
 // Limits bound the requests and connections of clients.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes limit the size of a request.
@@ -211,6 +218,19 @@
 // Organisations returns all organisations.
 func (c *Catalogue) Organisations() []Organisation { return slices.Clone(c.config.Organisations) }
 
+// HomeRegions returns the home regions of all routes and organisations, in order.
+func (c *Catalogue) HomeRegions() []string {
+	var regions []string
+	for _, r := range c.config.Routes {
+		regions = append(regions, r.HomeRegions()...)
+	}
+	for _, o := range c.config.Organisations {
+		regions = append(regions, o.HomeRegions()...)
+	}
+	slices.Sort(regions)
+	return slices.Compact(regions)
+}
+
 // Route returns the route of the host with the longest prefix of the path.
 func (c *Catalogue) Route(host, path string) (Route, bool) {
 	for _, r := range c.routesByHost[host] {
--- a/pkg/state/cataloguer/route.go
+++ b/pkg/state/cataloguer/route.go
@@ -75,6 +75,8 @@
 	// PrefixAffinity says that requests carry prompts whose segments targets
 	// cache.
 	PrefixAffinity bool
+	// HomeRegions are the only regions whose targets may get the requests. Empty means any.
+	HomeRegions []string
 }
 
 // Route defines where the requests for a host and path prefix are sent.
@@ -123,6 +125,10 @@
 // cache.
 func (r Route) PrefixAffinity() bool { return r.config.PrefixAffinity }
 
+// HomeRegions returns the only regions whose targets may get the requests, or nothing if
+// there is no restriction.
+func (r Route) HomeRegions() []string { return r.config.HomeRegions }
+
 // Services returns the names of the services that can get requests of the route.
 func (r Route) Services() []string {
 	var names []string
