--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -1,8 +1,8 @@
 // Package configurer loads and validates the settings of a process.
 //
 // Settings come from a JSON file: environment variables and flags do not override
-// them. The only exception is GracePeriodVariable, which earlier builds ignore, while
-// they refuse a file with a field that they do not know. An invalid setting is reported
+// them. The only exceptions are GracePeriodVariable and RegionsVariable, which earlier
+// builds ignore, while they refuse a file with a field that they do not know. An invalid setting is reported
 // in one line that names the file and the field and says how to correct it.
 package configurer
 
@@ -30,6 +30,10 @@
 // settings file does not set it.
 const GracePeriodVariable = "RADISHSHED_GRACE_PERIOD"
 
+// RegionsVariable is the environment variable with the regions of the data centres, as a JSON
+// object, of a process whose settings file does not set them.
+const RegionsVariable = "RADISHSHED_REGIONS"
+
 const (
 	defaultDrainDelay = 5 * time.Second
 	bytesPerMegabit   = 125_000
@@ -46,9 +50,9 @@
 }
 
 type jsonRetries struct {
-	Ratio   float64 `json:"ratio" validate:"gte=0,lte=1"`
-	Minimum int64   `json:"minimum" validate:"gte=0"`
-	Window  string  `json:"window" validate:"required"`
+	Ratio   jsonNumber `json:"ratio"`
+	Minimum jsonNumber `json:"minimum"`
+	Window  string     `json:"window" validate:"required"`
 }
 
 type jsonSettings struct {
@@ -66,8 +70,8 @@
 	OpenLinks         bool         `json:"openLinks,omitempty"`
 	FirstStart        bool         `json:"firstStart,omitempty"`
 	ReadyAddress      string       `json:"readyAddress,omitempty" validate:"omitempty,hostname_port"`
-	MemoryMB          int64        `json:"memoryMegabytes,omitempty" validate:"gte=0"`
-	LinkMegabits      float64      `json:"linkMegabits,omitempty" validate:"gte=0"`
+	MemoryMB          jsonNumber   `json:"memoryMegabytes,omitempty"`
+	LinkMegabits      jsonNumber   `json:"linkMegabits,omitempty"`
 	Retries           *jsonRetries `json:"retries,omitempty"`
 	DataFolder        string       `json:"dataFolder,omitempty"`
 	FleetKeyFile      string       `json:"fleetKeyFile,omitempty" validate:"required_without=OpenLinks,excluded_with=OpenLinks"`
@@ -76,7 +80,9 @@
 	LogLevel          string       `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 	DrainNotice       string       `json:"drainNotice,omitempty"`
 	GracePeriod       string       `json:"gracePeriod,omitempty"`
-	MaxEventKB        int          `json:"maxEventKilobytes,omitempty" validate:"gte=0"`
+	MaxEventKB        jsonNumber   `json:"maxEventKilobytes,omitempty"`
+	// Regions maps data centres to regions.
+	Regions map[string]string `json:"regions,omitempty"`
 }
 
 // ruleMessages maps each validation rule to the message about a field that violates
@@ -89,8 +95,6 @@
 	"oneof":            "is not a log level: use debug, info, warn or error",
 	"required_without": "is missing: set it or its alternative (controlAddresses or seeds, fleetKeyFile or openLinks)",
 	"excluded_with":    "cannot be combined with openLinks: remove one of them",
-	"gte":              "is too small: use zero or more",
-	"lte":              "is too large: use one at most",
 }
 
 // Role is the kind of process that the settings are for. It only selects which
@@ -129,6 +133,9 @@
 		if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
 			return w, errors.Errorf("%s: unknown field: remove it or correct its name", strings.Trim(field, `"`))
 		}
+		if err := nonFiniteError(data); err != nil {
+			return w, err
+		}
 		return w, errors.Errorf("not valid JSON settings: %v", err)
 	}
 	if _, err := decoder.Token(); err != io.EOF {
@@ -154,6 +161,10 @@
 }
 
 func newSettings(w jsonSettings, role Role, folder string) (Settings, error) {
+	n, err := parseNumbers(w)
+	if err != nil {
+		return Settings{}, err
+	}
 	s := Settings{
 		vm:                 w.VM,
 		dataCentre:         w.DataCentre,
@@ -167,9 +178,9 @@
 		drainDelay:         defaultDrainDelay,
 		readyAddress:       w.ReadyAddress,
 		firstStart:         w.FirstStart,
-		memoryLimitBytes:   w.MemoryMB << 20,
-		linkBytesPerSecond: w.LinkMegabits * bytesPerMegabit,
-		maxEventBytes:      w.MaxEventKB << 10,
+		memoryLimitBytes:   int64(n.memoryMB) << 20,
+		linkBytesPerSecond: n.linkMegabits * bytesPerMegabit,
+		maxEventBytes:      int(n.maxEventKB) << 10,
 	}
 	if s.maxEventBytes == 0 {
 		s.maxEventBytes = defaultMaxEventBytes
@@ -183,19 +194,21 @@
 	if err := s.setRole(w, role, folder); err != nil {
 		return s, err
 	}
-	var err error
 	if w.DrainNotice != "" {
-		if s.drainDelay, err = time.ParseDuration(w.DrainNotice); err != nil || s.drainDelay < 0 {
+		if s.drainDelay, err = parseDuration(w.DrainNotice); err != nil || s.drainDelay < 0 {
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
 	if err := s.setGracePeriod(w.GracePeriod, os.Getenv(GracePeriodVariable)); err != nil {
 		return s, err
 	}
+	if s.regions, err = parseRegions(w.Regions, os.Getenv(RegionsVariable)); err != nil {
+		return s, err
+	}
 	if err := s.setLinks(w, folder); err != nil {
 		return s, err
 	}
-	if err := s.setRetries(w.Retries); err != nil {
+	if err := s.setRetries(w.Retries, n); err != nil {
 		return s, errors.Wrap(err, "retries")
 	}
 	if s.operatorKeyHashes, err = archiver.ParseHashes(w.OperatorKeyHashes); err != nil {
@@ -219,12 +232,26 @@
 		return nil
 	}
 	var err error
-	if s.gracePeriod, err = time.ParseDuration(text); err != nil || s.gracePeriod <= 0 {
+	if s.gracePeriod, err = parseDuration(text); err != nil || s.gracePeriod <= 0 {
 		return errors.Errorf(`%s: %q is not a duration above zero: use the form "30s"`, name, text)
 	}
 	return nil
 }
 
+// parseRegions returns the regions of the data centres from the settings file or else from the
+// environment.
+func parseRegions(fromFile map[string]string, fromEnvironment string) (map[string]string, error) {
+	if len(fromFile) > 0 || fromEnvironment == "" {
+		return fromFile, nil
+	}
+	var regions map[string]string
+	if err := json.Unmarshal([]byte(fromEnvironment), &regions); err != nil {
+		return nil, errors.Errorf(`%s: %q is not a JSON object from data centre to region: use the form {"a": "north"}`,
+			RegionsVariable, fromEnvironment)
+	}
+	return regions, nil
+}
+
 // unauthenticatedLinkKey replaces the fleet key if links are not authenticated. The
 // key is not a secret.
 const unauthenticatedLinkKey = "links without a fleet key"
@@ -250,15 +277,15 @@
 	return errors.Wrap(err, "fleetKeyFile")
 }
 
-func (s *Settings) setRetries(w *jsonRetries) error {
+func (s *Settings) setRetries(w *jsonRetries, n numbers) error {
 	if w == nil {
 		return nil
 	}
-	window, err := time.ParseDuration(w.Window)
+	window, err := parseDuration(w.Window)
 	if err != nil || window <= 0 {
 		return errors.Errorf(`window: %q is not a duration: use the form "10s"`, w.Window)
 	}
-	s.retryBudget = RetryBudget{w.Ratio, w.Minimum, window}
+	s.retryBudget = RetryBudget{n.retryRatio, int64(n.minimumRetries), window}
 	return nil
 }
 
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -4,13 +4,11 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/operator"
-	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
 )
@@ -74,16 +72,6 @@
 		zap.Strings("evacuated", set.DataCentres()), zap.Uint64("revision", set.Revision()))
 }
 
-// noPlacementRefusal returns the refusal of a request for which no target could be chosen.
-func (q *request) noPlacementRefusal(err error) *refusal {
-	if errors.Is(err, placer.ErrNoTarget) {
-		if r := q.evacuationRefusal(); r != nil {
-			return r
-		}
-	}
-	return placementRefusal(err)
-}
-
 // serveStatus serves the state of this router to operators.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	set := g.evacuations.Load()
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -303,6 +303,7 @@
 	if err != nil {
 		return err
 	}
+	g.prepareHomeRegions(catalogue)
 	previous := g.catalogueRecord.Load().Version()
 	g.limits.SetWarmupRates(catalogue.WarmupRates(), g.disseminator.Live, time.Now())
 	g.catalogue.Store(catalogue)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -87,7 +87,7 @@
 	}
 	software := v.Software()
 	q.service, q.onlyVersion = service, &software
-	if r := q.evacuationRefusal(); r != nil {
+	if r := q.dataCentreRefusal(); r != nil {
 		return r
 	}
 	if q.gateway.placer.CountUsable(q.placementRequest(time.Now(), nil)) == 0 {
