--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -77,6 +77,10 @@
 	DrainNotice       string       `json:"drainNotice,omitempty"`
 	GracePeriod       string       `json:"gracePeriod,omitempty"`
 	MaxEventKB        int          `json:"maxEventKilobytes,omitempty" validate:"gte=0"`
+	MaxHeadKB         int          `json:"maxHeadKilobytes,omitempty" validate:"gte=0"`
+	HeadTimeout       string       `json:"headTimeout,omitempty"`
+	MaxConnections    int          `json:"maxConnections,omitempty" validate:"gte=0"`
+	MinBodyRate       int64        `json:"minBodyBytesPerSecond,omitempty" validate:"gte=0"`
 }
 
 // ruleMessages maps each validation rule to the message about a field that violates
@@ -169,6 +173,9 @@
 		memoryLimitBytes:   w.MemoryMB << 20,
 		linkBytesPerSecond: w.LinkMegabits * bytesPerMegabit,
 		maxEventBytes:      w.MaxEventKB << 10,
+		maxHeadBytes:       w.MaxHeadKB << 10,
+		maxConnections:     w.MaxConnections,
+		minBodyRate:        w.MinBodyRate,
 	}
 	if s.maxEventBytes == 0 {
 		s.maxEventBytes = defaultMaxEventBytes
@@ -188,6 +195,11 @@
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
+	if w.HeadTimeout != "" {
+		if s.headTimeout, err = time.ParseDuration(w.HeadTimeout); err != nil || s.headTimeout <= 0 {
+			return s, errors.Errorf(`headTimeout: %q is not a duration above zero: use the form "10s"`, w.HeadTimeout)
+		}
+	}
 	if err := s.setGracePeriod(w.GracePeriod, os.Getenv(GracePeriodVariable)); err != nil {
 		return s, err
 	}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -32,6 +32,10 @@
 	linkBytesPerSecond   float64
 	retryBudget          RetryBudget
 	maxEventBytes        int
+	maxHeadBytes         int
+	headTimeout          time.Duration
+	maxConnections       int
+	minBodyRate          int64
 }
 
 // RetryBudget limits the retries of the fleet: in each window, the fleet may retry a
@@ -77,6 +81,20 @@
 // MaxEventBytes returns the size limit of one event of a target's stream.
 func (s Settings) MaxEventBytes() int { return s.maxEventBytes }
 
+// MaxHeadBytes returns the size limit of the head of a request, or zero for the default.
+func (s Settings) MaxHeadBytes() int { return s.maxHeadBytes }
+
+// HeadTimeout returns how long the head of a request may take to arrive, or zero for the default.
+func (s Settings) HeadTimeout() time.Duration { return s.headTimeout }
+
+// MaxConnections returns how many connections of callers are open at most, or zero for a part of
+// the descriptors of the process.
+func (s Settings) MaxConnections() int { return s.maxConnections }
+
+// MinBodyRate returns the bytes a second below which the sender of a body is ended, or zero for
+// the default.
+func (s Settings) MinBodyRate() int64 { return s.minBodyRate }
+
 // RetryBudget returns the limits on the retries of the fleet.
 func (s Settings) RetryBudget() RetryBudget { return s.retryBudget }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -26,6 +26,9 @@
 
 const (
 	readBufferBytes = 4 << 10
+	headBufferBytes = 1 << 10
+	// maxCopiedBytes limits the bodies that are copied behind the head of their request.
+	maxCopiedBytes = 8 << 10
 	// maxIdleTime is well below the idle timeouts of targets. An idle connection must
 	// not be reused when the target is about to close it, since a request that is sent
 	// then may or may not have run.
@@ -221,21 +224,24 @@
 }
 
 // writer writes a request while its response is being read, since a target may respond
-// before it has read the complete body.
+// before it has read the complete body. The head and the body are written one after the other, so
+// that memory holds only one copy of the body.
 type writer struct {
 	connection *connection
-	data       []byte
+	data       net.Buffers
 	done       chan error
 }
 
 func (w *writer) run() {
-	_, err := w.connection.Write(w.data)
+	_, err := w.data.WriteTo(w.connection)
 	w.done <- err
 }
 
-func (r Request) encode() []byte {
+// encode returns the head and the body. A small body is copied behind the head, which saves a
+// write.
+func (r Request) encode() net.Buffers {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+	b.Grow(headBufferBytes)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header() {
 		for _, value := range values {
@@ -246,8 +252,11 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	if len(r.Body) > maxCopiedBytes {
+		return net.Buffers{b.Bytes(), r.Body}
+	}
 	b.Write(r.Body)
-	return b.Bytes()
+	return net.Buffers{b.Bytes()}
 }
 
 // sanitise replaces line breaks in the value of a header field, which could otherwise
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/internal/bodyreader"
+)
+
+const (
+	defaultMaxBodyBytes = 4 << 20
+	// memoryRetryAfter is the Retry-After value of a request for whose body no memory is left.
+	memoryRetryAfter = 250 * time.Millisecond
+)
+
+// readBody reads the body of the request into memory that is reserved before it is filled. A
+// request for whose body no memory is left is refused, and so is one whose sender makes no
+// progress. Their connections are closed, since the rest of the body is not read.
+func (q *request) readBody() *refusal {
+	if q.http.ContentLength == 0 {
+		return nil
+	}
+	limit := q.catalogue.Limits().MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	q.beginReading()
+	body, err := bodyreader.Read(bodyreader.Config{
+		Source: q.http.Body, Length: q.http.ContentLength, MaxBytes: limit, Reservation: q.memory,
+		MinBytesPerSecond: q.gateway.settings.MinBodyRate(), SetDeadline: q.extendReading,
+	})
+	if err != nil {
+		q.memory.Release()
+		q.writer.Header().Set("Connection", "close")
+		return q.bodyRefusal(err)
+	}
+	q.endReading()
+	q.body = body
+	return nil
+}
+
+// bodyRefusal returns the refusal of a request whose body was not read.
+func (q *request) bodyRefusal(err error) *refusal {
+	g := q.gateway
+	switch {
+	case errors.Is(err, bodyreader.ErrNoMemory):
+		g.meters.bodiesOverBudget.Inc(1)
+		g.clientLog.Warn("requests refused since no memory is left for their bodies", zap.Int64("length", q.http.ContentLength),
+			zap.Int64("bytesReserved", g.budgeter.Used()), zap.Int64("budget", g.budgeter.Total()), zap.Int64("counter", g.meters.bodiesOverBudget.Count()))
+		return newRefusal(http.StatusServiceUnavailable, "memoryFull", memoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		g.meters.sendersEnded.Inc(1)
+		g.clientLog.Warn("requests refused since their bodies have not arrived in time", zap.Int64("length", q.http.ContentLength),
+			zap.Duration("took", time.Since(q.arrivedAt)), zap.Int64("counter", g.meters.sendersEnded.Count()))
+		return newRefusal(http.StatusRequestTimeout, "bodyNotInTime", 0)
+	case errors.Is(err, bodyreader.ErrTooLarge):
+		return newRefusal(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0)
+	default:
+		return newRefusal(http.StatusBadRequest, "bodyNotRead", 0)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"radishshed.example/radishshed/internal/limiter"
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 	"radishshed.example/radishshed/internal/offloader"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/internal/originsharer"
@@ -58,6 +59,10 @@
 	// finalReportTimeout limits the time for the final spending report of a draining
 	// router.
 	finalReportTimeout = time.Second
+	// Shares of the descriptors of the process. The rest remains for the operators' and the
+	// readiness address, targets and outgoing links.
+	callerDescriptors  = 0.375
+	linkDescriptors    = 0.25
 	defaultRetryWindow = 10 * time.Second
 	linkLoadInterval   = 250 * time.Millisecond
 )
@@ -123,6 +128,8 @@
 	origins                         *originsharer.Sharer
 	relays                          *relayer.Relayer
 	relayCandidates                 atomic.Pointer[[]relayselector.Candidate]
+	budgeter                        *memorybudgeter.Budgeter
+	clientLog                       *zap.Logger   // limited in its rate
 	linkUtilisation                 atomic.Uint64 // share of the link in use, as the bits of a float64
 }
 
@@ -146,6 +153,8 @@
 		investigations: make(chan struct{}, maxInvestigations),
 		sizeRanker:     limiter.NewSizeRanker(limiter.SizeRankerConfig{}),
 	}
+	g.budgeter = memorybudgeter.New(memorybudgeter.Config{MemoryBytes: c.Settings.MemoryLimitBytes()})
+	g.clientLog = listener.RateLimited(c.Log)
 	g.offloader = offloader.New(offloader.Config{LinkBytesPerSecond: c.Settings.LinkBytesPerSecond()})
 	g.reportRepeater = repeater.New(repeater.Config{Interval: reportCheckInterval, Step: g.reportIfDue})
 	g.ceilingRepeater = repeater.New(repeater.Config{Interval: witnessInterval, Step: g.sendPendingCeilings})
@@ -280,8 +289,14 @@
 	if address := g.settings.ReadyAddress(); address != "" {
 		handlers[address] = http.HandlerFunc(g.serveReady)
 	}
+	limits := listener.NewLimits(listener.LimitsConfig{
+		MaxHeadBytes: g.settings.MaxHeadBytes(), HeadTimeout: g.settings.HeadTimeout(), Budgeter: g.budgeter, Metrics: g.metrics, Log: g.log,
+	})
+	shares := map[string]float64{g.settings.LinkAddress(): linkDescriptors} // zero for the default
 	for address, handler := range handlers {
-		l, err := listener.Start(listener.Config{Address: address, TLS: g.settings.ServerTLS(), Handler: handler, OnError: failed})
+		l, err := listener.Start(listener.Config{
+			Address: address, TLS: g.settings.ServerTLS(), Handler: handler, OnError: failed, Limits: limits, DescriptorShare: shares[address],
+		})
 		if err != nil {
 			return nil, nil, err
 		}
@@ -290,6 +305,7 @@
 	public, err = listener.Start(listener.Config{
 		Address: g.settings.CallerAddress(), TLS: g.settings.ServerTLS(),
 		Handler: http.HandlerFunc(g.serve), OnError: failed, IdleTimeout: idleTimeout, ByteCounter: &g.byteCounter,
+		Limits: limits, MaxConnections: g.settings.MaxConnections(), DescriptorShare: callerDescriptors,
 	})
 	return private, public, err
 }
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -21,8 +21,11 @@
 	// investigationsSkipped counts the failed attempts that were not investigated, since
 	// too many were under way.
 	investigationsSkipped metrics.Counter
-	firstByte             metrics.Histogram // milliseconds
-	duration              metrics.Histogram // milliseconds
+	// bodiesOverBudget counts the requests that were refused since no memory was left for
+	// their bodies, and sendersEnded those whose bodies did not arrive in time.
+	bodiesOverBudget, sendersEnded metrics.Counter
+	firstByte                      metrics.Histogram // milliseconds
+	duration                       metrics.Histogram // milliseconds
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -43,6 +46,9 @@
 
 		investigationsSkipped: counter("investigationsSkipped"),
 
+		bodiesOverBudget: counter("bodiesOverBudget"),
+		sendersEnded:     counter("sendersEnded"),
+
 		firstByte: histogram("firstByteMilliseconds"),
 		duration:  histogram("requestMilliseconds"),
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/durationestimator"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 	"radishshed.example/radishshed/internal/placer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
@@ -28,8 +27,6 @@
 	// remains for relaying a response.
 	responseMargin = 30 * time.Millisecond
 
-	defaultMaxBodyBytes = 4 << 20
-
 	// writeGrace is how long after its deadline a request may still write to its
 	// caller. The refusal that reports the timeout is written at the deadline.
 	writeGrace = 500 * time.Millisecond
@@ -50,6 +47,8 @@
 	organisation string
 	priority     int
 	body         []byte
+	// memory is what the request has reserved of the memory budget.
+	memory *memorybudgeter.Reservation
 	// cachedIdentity is what identity returns, once it has been computed.
 	cachedIdentity *quarantiner.Request
 
@@ -83,7 +82,8 @@
 
 // serve handles a request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	q := &request{gateway: g, writer: w, http: r, arrivedAt: time.Now()}
+	q := &request{gateway: g, writer: w, http: r, arrivedAt: time.Now(), memory: g.budgeter.Open()}
+	defer q.memory.Release()
 	g.meters.open.Inc(1)
 	defer g.meters.open.Dec(1)
 	ctx, end := context.WithCancel(r.Context())
@@ -159,30 +159,6 @@
 	}
 }
 
-func (q *request) readBody() *refusal {
-	limit := q.catalogue.Limits().MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if q.http.ContentLength == 0 {
-		return nil
-	}
-	q.beginReading()
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return newRefusal(http.StatusRequestTimeout, "bodyNotInTime", 0)
-	case errors.As(err, &tooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0)
-	case err != nil:
-		return newRefusal(http.StatusBadRequest, "bodyNotRead", 0)
-	}
-	q.endReading()
-	q.body = body
-	return nil
-}
-
 // settle charges the tokens that the request has consumed and releases the rest of the
 // reservation.
 func (q *request) settle() {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -47,6 +47,7 @@
 	if q.readingBody {
 		q.limitReading(time.Now())
 	}
+	q.readingBody = false // the limit is not extended any more
 }
 
 // beginReading makes reads from the caller fail after the request's deadline, or once the request
@@ -58,6 +59,20 @@
 	q.limitReading(q.deadline)
 }
 
+// extendReading makes reads from the caller fail after a time, or after the request's deadline if
+// that is earlier.
+func (q *request) extendReading(until time.Time) {
+	q.readMutex.Lock()
+	defer q.readMutex.Unlock()
+	if !q.readingBody {
+		return // the request is interrupted
+	}
+	if until.After(q.deadline) {
+		until = q.deadline
+	}
+	q.limitReading(until)
+}
+
 // endReading lifts the limit on reads from the caller.
 func (q *request) endReading() {
 	q.readMutex.Lock()
--- a/internal/listener/drainer.go
+++ b/internal/listener/drainer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/bytecounter"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 )
 
 const (
@@ -31,6 +32,11 @@
 // errStopped is returned by Accept once the listener has shut down.
 var errStopped = errors.New("the listener has shut down")
 
+// errNoMemory is returned by Read if no memory is left for the head of a request. http.Server
+// closes the connection after an error of this type, and would send status 400 after another,
+// which callers do not try again.
+var errNoMemory = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("no memory is left for the head of a request")}
+
 // drainer is a net.Listener that tracks its connections, so that a shutdown closes only
 // those on which no request is under way. http.Server.Shutdown also closes connections of
 // which it has read a part of a request's header.
@@ -41,8 +47,14 @@
 	// stopped is set once Accept has returned its last connection, and that is tracked.
 	stopped atomic.Bool
 
+	// limits, if set, bound the connections and the memory for their heads.
+	limits         *Limits
+	maxConnections int
+
 	mutex       sync.Mutex
 	connections map[*trackedConnection]bool
+	// open counts the connections that have not been closed, with those that were hijacked.
+	open atomic.Int64
 }
 
 func newDrainer(l *net.TCPListener, c *bytecounter.ByteCounter) *drainer {
@@ -64,6 +76,14 @@
 	idleSince atomic.Int64
 	// idleAt is when the last request ended, Unix time in nanoseconds.
 	idleAt atomic.Int64
+
+	drainer *drainer
+	// reservation is what the connection and the head of its request have reserved, or nil if
+	// there are no limits.
+	reservation *memorybudgeter.Reservation
+	// headEnded is set while a request is handled: what is read then is not part of a head.
+	headEnded atomic.Bool
+	closeOnce sync.Once
 }
 
 // Read implements net.Conn.
@@ -75,42 +95,112 @@
 		return 0, net.ErrClosed
 	}
 	c.received.Add(int64(n))
+	if c.reservation != nil && !c.headEnded.Load() && !c.drainer.limits.admitHead(c.reservation, p[:n]) {
+		return 0, errNoMemory
+	}
 	return n, err
 }
 
-// Accept implements net.Listener.
+// Close implements net.Conn.
+func (c *trackedConnection) Close() error {
+	c.closeOnce.Do(c.release)
+	return c.Conn.Close()
+}
+
+// release releases what the connection has reserved.
+func (c *trackedConnection) release() {
+	if c.reservation == nil {
+		return
+	}
+	c.reservation.Release()
+	c.drainer.open.Add(-1)
+}
+
+// beginHead makes further bytes count as the head of the next request.
+func (c *trackedConnection) beginHead() {
+	if c.reservation == nil {
+		return
+	}
+	c.reservation.Shrink(c.reservation.Held() - connectionBytes)
+	c.headEnded.Store(false)
+}
+
+// Accept implements net.Listener. Connections over the limits are closed.
 func (d *drainer) Accept() (net.Conn, error) {
-	socket, err := d.AcceptTCP()
-	if err != nil {
-		if d.stopping.Load() {
-			d.stopped.Store(true)
-			return nil, errStopped
+	for {
+		socket, err := d.AcceptTCP()
+		if err != nil {
+			if d.stopping.Load() {
+				d.stopped.Store(true)
+				return nil, errStopped
+			}
+			return nil, err
+		}
+		if c, ok := d.admit(socket); ok {
+			return c, nil
 		}
-		return nil, err
+		_ = socket.Close() // nothing to do about a failing close
 	}
-	c := &trackedConnection{Conn: socket, socket: socket, acceptedAt: time.Now()}
+}
+
+// admit tracks a connection that was accepted, unless it is over the limits.
+func (d *drainer) admit(socket *net.TCPConn) (net.Conn, bool) {
+	c := &trackedConnection{Conn: socket, socket: socket, acceptedAt: time.Now(), drainer: d}
 	if d.byteCounter != nil {
 		c.Conn = d.byteCounter.WrapConnection(socket)
 	}
+	if d.limits != nil {
+		var ok bool
+		if c.reservation, ok = d.limits.admitConnection(int(d.open.Load()), d.maxConnections); !ok {
+			return nil, false
+		}
+		d.open.Add(1)
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.connections[c] = true
-	return c, nil
+	return c, true
 }
 
-// recordState follows the state of a connection, as reported by http.Server.
-func (d *drainer) recordState(c net.Conn, state http.ConnState) {
+// connectionKey is the key of the trackedConnection in the context of its requests.
+type connectionKey struct{}
+
+// withConnection returns a context that holds the connection of a request.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, tracked(c))
+}
+
+// tracked returns the connection below TLS, or nil.
+func tracked(c net.Conn) *trackedConnection {
 	if encrypted, ok := c.(*tls.Conn); ok {
 		c = encrypted.NetConn()
 	}
-	tracked, ok := c.(*trackedConnection)
-	if !ok {
+	t, _ := c.(*trackedConnection) // nil if it is another connection
+	return t
+}
+
+// headRecorder is a handler that records that the head of a request has ended.
+type headRecorder struct{ http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h headRecorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, _ := r.Context().Value(connectionKey{}).(*trackedConnection); c != nil {
+		c.headEnded.Store(true)
+	}
+	h.Handler.ServeHTTP(w, r)
+}
+
+// recordState follows the state of a connection, as reported by http.Server.
+func (d *drainer) recordState(c net.Conn, state http.ConnState) {
+	tracked := tracked(c)
+	if tracked == nil {
 		return
 	}
 	switch state {
 	case http.StateActive:
 		tracked.idleSince.Store(-1)
 	case http.StateIdle:
+		tracked.beginHead()
 		tracked.idleAt.Store(time.Now().UnixNano())
 		tracked.idleSince.Store(tracked.received.Load())
 	case http.StateHijacked, http.StateClosed:
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/bytecounter"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Config configures a listener.
 type Config struct {
 	// Address is the host and port to listen on. Required.
@@ -29,6 +30,13 @@
 	ByteCounter *bytecounter.ByteCounter
 	// IdleTimeout is how long a connection may stay idle. Default: no limit.
 	IdleTimeout time.Duration
+	// Limits bound what clients may take. Default: the default limits, without a memory budget.
+	Limits *Limits
+	// MaxConnections limits the number of connections. Default: DescriptorShare.
+	MaxConnections int
+	// DescriptorShare is the part of the descriptors of the process that the connections may
+	// take. Default: a sixteenth.
+	DescriptorShare float64
 }
 
 // Listener is an HTTP server on one address.
@@ -42,6 +50,11 @@
 
 // Start listens on the address and serves requests in the background.
 func Start(config Config) (*Listener, error) {
+	if config.Limits == nil {
+		config.Limits = NewLimits(LimitsConfig{
+			Budgeter: memorybudgeter.New(memorybudgeter.Config{}), Metrics: metrics.NewRegistry(), Log: zap.NewNop(),
+		})
+	}
 	socket, err := net.Listen("tcp", config.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", config.Address)
@@ -51,12 +64,17 @@
 		return nil, errors.Errorf("listen on %s: %T is not a TCP listener", config.Address, socket)
 	}
 	drainer := newDrainer(tcp, config.ByteCounter)
+	drainer.limits, drainer.maxConnections = config.Limits, config.MaxConnections
+	if config.MaxConnections == 0 {
+		drainer.maxConnections = maxConnections(config.DescriptorShare)
+	}
 	l := &Listener{
 		config:  config,
 		socket:  drainer,
 		drainer: drainer,
 		server: &http.Server{
-			Handler: config.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: config.IdleTimeout, ConnState: drainer.recordState,
+			Handler: headRecorder{config.Handler}, ConnState: drainer.recordState, ConnContext: withConnection,
+			ReadHeaderTimeout: config.Limits.config.HeadTimeout, IdleTimeout: config.IdleTimeout, MaxHeaderBytes: config.Limits.config.MaxHeadBytes,
 		},
 	}
 	if config.TLS != nil {
