--- a/internal/admitter/refusal.go
+++ b/internal/admitter/refusal.go
@@ -29,6 +29,8 @@
 	ControlUnreachable Kind = "controlUnreachable"
 	Starting           Kind = "starting"
 	Stopping           Kind = "stopping"
+	MemoryFull         Kind = "memoryFull"
+	BodyNotInTime      Kind = "bodyNotInTime"
 	Quarantined        Kind = "requestQuarantined"
 	TargetFailed       Kind = "targetFailed"
 	TargetTimeout      Kind = "targetTimeout"
@@ -58,6 +60,8 @@
 	ControlUnreachable: {http.StatusServiceUnavailable, "server_error", 2 * time.Second},
 	Starting:           {http.StatusServiceUnavailable, "server_error", time.Second},
 	Stopping:           {http.StatusServiceUnavailable, "server_error", time.Second},
+	MemoryFull:         {http.StatusServiceUnavailable, "server_error", time.Second},
+	BodyNotInTime:      {http.StatusRequestTimeout, "invalid_request_error", 0},
 	Quarantined:        {http.StatusUnprocessableEntity, "invalid_request_error", 0},
 	TargetFailed:       {http.StatusBadGateway, "server_error", 0},
 	TargetTimeout:      {http.StatusGatewayTimeout, "server_error", 0},
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"radishshed.example/radishshed/internal/configurer"
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/originsharer"
 	"radishshed.example/radishshed/internal/quarantiner"
@@ -366,9 +367,21 @@
 	}
 }
 
+// Shares of the descriptors of a control VM, to which all routers keep links. The rest remains for
+// its files and its own links.
+const (
+	linkDescriptors     = 0.5
+	operatorDescriptors = 0.25
+)
+
 func (c *Controller) listen(failed func(error)) ([]*listener.Listener, error) {
 	links := chi.NewRouter()
 	links.Handle(linker.Path, c.endpoint)
+	limits := listener.NewLimits(listener.LimitsConfig{
+		MaxHeadBytes: c.settings.MaxHeadBytes(), HeadTimeout: c.settings.HeadTimeout(), MinBodyRate: c.settings.MinBodyRate(),
+		Budgeter: memorybudgeter.New(memorybudgeter.Config{MemoryBytes: c.settings.MemoryLimitBytes()}), Metrics: c.metrics, Log: c.log,
+	})
+	shares := map[string]float64{c.settings.LinkAddress(): linkDescriptors, c.settings.OperatorAddress(): operatorDescriptors}
 	var listeners []*listener.Listener
 	for address, handler := range map[string]http.Handler{
 		c.settings.LinkAddress():     links,
@@ -379,6 +392,7 @@
 			TLS:     c.settings.ServerTLS(),
 			Handler: handler,
 			OnError: failed,
+			Limits:  limits, DescriptorShare: shares[address],
 		})
 		if err != nil {
 			return nil, err
--- a/internal/controller/operators.go
+++ b/internal/controller/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/pkg/state/applier"
 	"radishshed.example/radishshed/pkg/state/archiver"
@@ -55,9 +55,13 @@
 }
 
 func (c *Controller) serveSubmit(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTicketBytes))
+	body, err := listener.ReadBody(w, r, maxTicketBytes)
 	if err != nil {
-		operator.WriteError(w, http.StatusRequestEntityTooLarge, "ticketTooLarge", err.Error())
+		status, reason := listener.BodyStatus(err)
+		if status == http.StatusRequestEntityTooLarge {
+			reason = "ticketTooLarge"
+		}
+		operator.WriteError(w, status, reason, err.Error())
 		return
 	}
 	ticket, err := archiver.Decode(body)
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -258,3 +259,28 @@
 		}
 	}
 }
+
+// Guards against a second copy of the body, which would double the memory of a burst of large
+// requests.
+func TestBodyIsNotCopied(t *testing.T) {
+	target := newRawTarget(t, "", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	body := make([]byte, 16<<20)
+	e := exchanger.New(exchanger.Config{Dial: relayer.DialDirect})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	response, err := e.Send(ctx, exchanger.Request{
+		Address: target.address(), Method: http.MethodPost, URI: "/", Host: "x", Body: body,
+		Header:          func() http.Header { return http.Header{} },
+		MatchesResponse: func(int, http.Header) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Close()
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > uint64(len(body))/2 {
+		t.Errorf("%d bytes allocated for a body of %d", allocated, len(body))
+	}
+}
--- a/internal/listener/drainer.go
+++ b/internal/listener/drainer.go
@@ -81,6 +81,8 @@
 	// reservation is what the connection and the head of its request have reserved, or nil if
 	// there are no limits.
 	reservation *memorybudgeter.Reservation
+	// body is what the body of the request that is handled has reserved, or nil as above.
+	body *memorybudgeter.Reservation
 	// headEnded is set while a request is handled: what is read then is not part of a head.
 	headEnded atomic.Bool
 	closeOnce sync.Once
@@ -113,6 +115,7 @@
 		return
 	}
 	c.reservation.Release()
+	c.body.Release()
 	c.drainer.open.Add(-1)
 }
 
@@ -121,6 +124,7 @@
 	if c.reservation == nil {
 		return
 	}
+	c.body.Release()
 	c.reservation.Shrink(c.reservation.Held() - connectionBytes)
 	c.headEnded.Store(false)
 }
@@ -154,6 +158,7 @@
 		if c.reservation, ok = d.limits.admitConnection(int(d.open.Load()), d.maxConnections); !ok {
 			return nil, false
 		}
+		c.body = d.limits.config.Budgeter.Open()
 		d.open.Add(1)
 	}
 	d.mutex.Lock()
--- a/internal/listener/limits.go
+++ b/internal/listener/limits.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"net/http"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"radishshed.example/radishshed/internal/bodyreader"
 	"radishshed.example/radishshed/internal/memorybudgeter"
 )
 
@@ -37,7 +41,10 @@
 	MaxHeadBytes int
 	// HeadTimeout limits the time in which a head must arrive. Default: 10 s.
 	HeadTimeout time.Duration
-	// Budgeter holds the memory that connections and heads may take. Required.
+	// MinBodyRate is the bytes a second below which ReadBody ends a sender. Default: that of
+	// memorybudgeter.Progress.
+	MinBodyRate int64
+	// Budgeter holds the memory that connections, heads and bodies may take. Required.
 	Budgeter *memorybudgeter.Budgeter
 	// Metrics holds the counters of refusals. Required.
 	Metrics metrics.Registry
@@ -50,6 +57,7 @@
 	config                              LimitsConfig
 	log                                 *zap.Logger
 	connectionsRefused, headsOverBudget metrics.Counter
+	bodiesOverBudget, sendersEnded      metrics.Counter
 }
 
 // NewLimits returns limits for the listeners of a process.
@@ -64,6 +72,8 @@
 		config: c, log: RateLimited(c.Log),
 		connectionsRefused: metrics.GetOrRegisterCounter("connectionsRefused", c.Metrics),
 		headsOverBudget:    metrics.GetOrRegisterCounter("headsOverBudget", c.Metrics),
+		bodiesOverBudget:   metrics.GetOrRegisterCounter("bodiesOverBudget", c.Metrics),
+		sendersEnded:       metrics.GetOrRegisterCounter("sendersEnded", c.Metrics),
 	}
 }
 
@@ -101,6 +111,19 @@
 	return false
 }
 
+// recordBody counts a body that was not read for the error, and logs it.
+func (l *Limits) recordBody(r *http.Request, err error) {
+	fields := []zap.Field{zap.String("path", r.URL.Path), zap.Int64("length", r.ContentLength), zap.Int64("bytesReserved", l.config.Budgeter.Used())}
+	switch {
+	case errors.Is(err, bodyreader.ErrNoMemory):
+		l.bodiesOverBudget.Inc(1)
+		l.log.Warn("requests refused since no memory is left for their bodies", append(fields, zap.Int64("counter", l.bodiesOverBudget.Count()))...)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		l.sendersEnded.Inc(1)
+		l.log.Warn("requests refused since their bodies have not arrived in time", append(fields, zap.Int64("counter", l.sendersEnded.Count()))...)
+	}
+}
+
 // maxConnections returns how many connections a listener accepts that has a share of the
 // descriptors of the process.
 func maxConnections(share float64) int {
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 	"radishshed.example/radishshed/internal/admitter"
 	"radishshed.example/radishshed/internal/durationestimator"
 	"radishshed.example/radishshed/internal/forwarder"
+	"radishshed.example/radishshed/internal/listener"
 	"radishshed.example/radishshed/internal/operator"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/selector"
@@ -152,8 +152,14 @@
 	if _, refusal := admitter.Authenticate(configuration, a.APIKey); refusal != nil {
 		return admitter.Admission{}, refusal
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, admitter.MaxBodyBytes))
-	if err != nil {
+	body, err := listener.ReadBody(w, request, admitter.MaxBodyBytes)
+	switch status, _ := listener.BodyStatus(err); {
+	case err == nil:
+	case status == http.StatusServiceUnavailable:
+		return admitter.Admission{}, admitter.Refuse(admitter.MemoryFull, "no memory is left for the body: retry")
+	case status == http.StatusRequestTimeout:
+		return admitter.Admission{}, admitter.Refuse(admitter.BodyNotInTime, "the body has not arrived in time")
+	default:
 		return admitter.Admission{}, admitter.Refuse(admitter.RequestTooLarge, "the body cannot be read: %v", err)
 	}
 	a.Body = body
@@ -223,9 +229,10 @@
 		operator.WriteError(w, http.StatusUnauthorized, "unauthorised", "the key is not that of a target")
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxAnnouncementBytes))
+	body, err := listener.ReadBody(w, request, maxAnnouncementBytes)
 	if err != nil {
-		operator.WriteError(w, http.StatusRequestEntityTooLarge, "tooLarge", err.Error())
+		status, reason := listener.BodyStatus(err)
+		operator.WriteError(w, status, reason, err.Error())
 		return
 	}
 	announcement, err := selector.DecodeAnnouncement(body)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"radishshed.example/radishshed/internal/forwarder"
 	"radishshed.example/radishshed/internal/limitsharer"
 	"radishshed.example/radishshed/internal/listener"
+	"radishshed.example/radishshed/internal/memorybudgeter"
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayer"
@@ -234,12 +235,24 @@
 	r.tracker.LogShutdown(time.Now())
 }
 
-const returnGrantsTimeout = 5 * time.Second
+const (
+	returnGrantsTimeout = 5 * time.Second
+	// Shares of the descriptors of the process. The rest remains for the operators' address,
+	// targets and outgoing links.
+	callerDescriptors = 0.375
+	linkDescriptors   = 0.25
+)
 
 func (r *Router) listen(fail func(error)) (public *listener.Listener, private []*listener.Listener, err error) {
 	links := chi.NewRouter()
 	links.Handle(linker.Path, r.endpoint)
 	links.Handle(linker.TunnelPath, linker.NewTunnels(r.endpoint, r.relays.Accept))
+	limits := listener.NewLimits(listener.LimitsConfig{
+		MaxHeadBytes: r.settings.MaxHeadBytes(), HeadTimeout: r.settings.HeadTimeout(), MinBodyRate: r.settings.MinBodyRate(),
+		Budgeter: memorybudgeter.New(memorybudgeter.Config{MemoryBytes: r.settings.MemoryLimitBytes()}), Metrics: r.metrics, Log: r.log,
+	})
+	maxConnections := map[string]int{r.settings.CallerAddress(): r.settings.MaxConnections()} // zero for the default
+	shares := map[string]float64{r.settings.LinkAddress(): linkDescriptors, r.settings.CallerAddress(): callerDescriptors}
 	for address, handler := range map[string]http.Handler{
 		r.settings.LinkAddress():     links,
 		r.settings.OperatorAddress(): r.operatorRoutes(),
@@ -247,6 +260,7 @@
 	} {
 		l, err := listener.Start(listener.Config{
 			Address: address, TLS: r.settings.ServerTLS(), Handler: handler, OnError: fail,
+			Limits: limits, MaxConnections: maxConnections[address], DescriptorShare: shares[address],
 		})
 		if err != nil {
 			return nil, nil, err
