--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -31,6 +31,8 @@
 		{"no fleet key", `fleet.key`, `other.key`, configurer.Router{}, "fleetKeyFile: "},
 		{"broken JSON", `"vm":`, `"vm"`, configurer.Router{}, "not valid JSON settings"},
 		{"bad grace period", `"vm"`, `"gracePeriod": "0s", "vm"`, configurer.Router{}, `gracePeriod: "0s" is not a duration above zero`},
+		{"bad head timeout", `"vm"`, `"headTimeout": "0s", "vm"`, configurer.Router{}, `headTimeout: "0s" is not a duration above zero`},
+		{"negative limit", `"vm"`, `"maxConnections": -1, "vm"`, configurer.Router{}, "maxConnections: is too small"},
 		{"bad duration", `"vm"`, `"drainNotice": "soon", "vm"`, configurer.Router{}, `drainNotice: "soon" is not a duration`},
 	}
 	for _, c := range cases {
