--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,8 +59,8 @@
 	// finalReportTimeout limits the time for the final spending report of a draining
 	// router.
 	finalReportTimeout = time.Second
-	// Shares of the descriptors of the process. The rest remains for the operators' and the
-	// readiness address, targets and outgoing links.
+	// Shares of the descriptors of the process. A request takes a connection of a caller and one
+	// to a target, so that targets need as many as callers.
 	callerDescriptors  = 0.375
 	linkDescriptors    = 0.25
 	defaultRetryWindow = 10 * time.Second
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -237,8 +237,7 @@
 
 const (
 	returnGrantsTimeout = 5 * time.Second
-	// Shares of the descriptors of the process. The rest remains for the operators' address,
-	// targets and outgoing links.
+	// Shares of the descriptors of the process, as those of package gateway.
 	callerDescriptors = 0.375
 	linkDescriptors   = 0.25
 )
