--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -15,6 +16,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// memoryRetryAfter is the Retry-After value of a request for whose body no memory is left.
 	memoryRetryAfter = 250 * time.Millisecond
+	// discardTime limits how long the rest of a refused body is read.
+	discardTime = 2 * time.Second
 )
 
 // readBody reads the body of the request into memory that is reserved before it is filled. A
@@ -35,6 +38,7 @@
 	})
 	if err != nil {
 		q.memory.Release()
+		q.unreadBytes = limit
 		q.writer.Header().Set("Connection", "close")
 		return q.bodyRefusal(err)
 	}
@@ -43,6 +47,18 @@
 	return nil
 }
 
+// discardBody reads the rest of a body that was refused, without holding it. A caller that reads
+// the response only after it has sent its body would otherwise find its connection reset, and not
+// learn that the request has not run.
+func (q *request) discardBody() {
+	if q.unreadBytes == 0 || q.http.Header.Get("Expect") != "" {
+		return // it was read, or it is not sent before the response
+	}
+	_ = http.NewResponseController(q.writer).Flush() // fails only if the caller has disconnected
+	q.extendReading(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(q.http.Body, q.unreadBytes)) // the connection is closed in any case
+}
+
 // bodyRefusal returns the refusal of a request whose body was not read.
 func (q *request) bodyRefusal(err error) *refusal {
 	g := q.gateway
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,8 @@
 	body         []byte
 	// memory is what the request has reserved of the memory budget.
 	memory *memorybudgeter.Reservation
+	// unreadBytes is the most that may follow of a body that was refused, or zero.
+	unreadBytes int64
 	// cachedIdentity is what identity returns, once it has been computed.
 	cachedIdentity *quarantiner.Request
 
@@ -93,6 +95,7 @@
 	q.metadata = g.protocol.ParseRequest(r)
 	if refusal := q.admit(); refusal != nil {
 		q.refuse(refusal)
+		q.discardBody()
 		return
 	}
 	q.limitWriting()
