--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -30,7 +31,8 @@
 	ByteCounter *bytecounter.ByteCounter
 	// IdleTimeout is how long a connection may stay idle. Default: no limit.
 	IdleTimeout time.Duration
-	// Limits bound what clients may take. Default: the default limits, without a memory budget.
+	// Limits bound what clients may take. Default: the default limits on heads, without a memory
+	// budget or a limit on connections.
 	Limits *Limits
 	// MaxConnections limits the number of connections. Default: DescriptorShare.
 	MaxConnections int
@@ -51,6 +53,7 @@
 // Start listens on the address and serves requests in the background.
 func Start(config Config) (*Listener, error) {
 	if config.Limits == nil {
+		config.MaxConnections = math.MaxInt
 		config.Limits = NewLimits(LimitsConfig{
 			Budgeter: memorybudgeter.New(memorybudgeter.Config{}), Metrics: metrics.NewRegistry(), Log: zap.NewNop(),
 		})
