--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -81,6 +81,10 @@
 	DrainNotice       string       `json:"drainNotice,omitempty"`
 	GracePeriod       string       `json:"gracePeriod,omitempty"`
 	MaxEventKB        jsonNumber   `json:"maxEventKilobytes,omitempty"`
+	MaxHeadKB         jsonNumber   `json:"maxHeadKilobytes,omitempty"`
+	HeadTimeout       string       `json:"headTimeout,omitempty"`
+	MaxConnections    jsonNumber   `json:"maxConnections,omitempty"`
+	MinBodyRate       jsonNumber   `json:"minBodyBytesPerSecond,omitempty"`
 	// Regions maps data centres to regions.
 	Regions map[string]string `json:"regions,omitempty"`
 }
@@ -181,6 +185,9 @@
 		memoryLimitBytes:   int64(n.memoryMB) << 20,
 		linkBytesPerSecond: n.linkMegabits * bytesPerMegabit,
 		maxEventBytes:      int(n.maxEventKB) << 10,
+		maxHeadBytes:       int(n.maxHeadKB) << 10,
+		maxConnections:     int(n.maxConnections),
+		minBodyRate:        int64(n.minBodyRate),
 	}
 	if s.maxEventBytes == 0 {
 		s.maxEventBytes = defaultMaxEventBytes
@@ -199,6 +206,11 @@
 			return s, errors.Errorf(`drainNotice: %q is not a duration: use the form "5s"`, w.DrainNotice)
 		}
 	}
+	if w.HeadTimeout != "" {
+		if s.headTimeout, err = time.ParseDuration(w.HeadTimeout); err != nil || s.headTimeout <= 0 {
+			return s, errors.Errorf(`headTimeout: %q is not a duration above zero: use the form "10s"`, w.HeadTimeout)
+		}
+	}
 	if err := s.setGracePeriod(w.GracePeriod, os.Getenv(GracePeriodVariable)); err != nil {
 		return s, err
 	}
--- a/internal/configurer/numbers.go
+++ b/internal/configurer/numbers.go
@@ -17,6 +17,9 @@
 	maxRetryRatio = 1
 	maxRetries    = 1_000_000
 	maxEventKB    = 1 << 20 // 1 GiB
+	maxHeadKB     = 1 << 20 // 1 GiB
+	maxCallers    = 1 << 20
+	maxBodyRate   = 1 << 30 // bytes a second
 )
 
 // jsonNumber is the text of a numeric setting. Platforms render numbers with fractions and
@@ -50,6 +53,7 @@
 // numbers are the numeric settings.
 type numbers struct {
 	memoryMB, linkMegabits, retryRatio, minimumRetries, maxEventKB float64
+	maxHeadKB, maxConnections, minBodyRate                         float64
 }
 
 // parseNumbers returns the numeric settings. Counts are whole: a minimum is rounded up, and
@@ -71,6 +75,9 @@
 		{"retries.ratio", retries.Ratio, maxRetryRatio, &n.retryRatio},
 		{"retries.minimum", retries.Minimum, maxRetries, &n.minimumRetries},
 		{"maxEventKilobytes", w.MaxEventKB, maxEventKB, &n.maxEventKB},
+		{"maxHeadKilobytes", w.MaxHeadKB, maxHeadKB, &n.maxHeadKB},
+		{"maxConnections", w.MaxConnections, maxCallers, &n.maxConnections},
+		{"minBodyBytesPerSecond", w.MinBodyRate, maxBodyRate, &n.minBodyRate},
 	} {
 		var err error
 		if *f.value, err = f.text.parse(f.field, f.maximum); err != nil {
@@ -80,6 +87,9 @@
 	n.memoryMB = roundDown(n.memoryMB)
 	n.minimumRetries = math.Ceil(n.minimumRetries)
 	n.maxEventKB = roundDown(n.maxEventKB)
+	n.maxHeadKB = roundDown(n.maxHeadKB)
+	n.maxConnections = roundDown(n.maxConnections)
+	n.minBodyRate = roundDown(n.minBodyRate)
 	return n, nil
 }
 
--- a/internal/configurer/numbers_test.go
+++ b/internal/configurer/numbers_test.go
@@ -24,6 +24,9 @@
 	{"retries.ratio", `"ratio": `, func(s configurer.Settings) float64 { return s.RetryBudget().Ratio() }, 1, 1, exact},
 	{"retries.minimum", `"minimum": `, func(s configurer.Settings) float64 { return float64(s.RetryBudget().ExtraRetries()) }, 1, 1e6, up},
 	{"maxEventKilobytes", `"maxEventKilobytes": `, func(s configurer.Settings) float64 { return float64(s.MaxEventBytes()) }, 1 << 10, 1 << 20, down},
+	{"maxHeadKilobytes", `"maxHeadKilobytes": `, func(s configurer.Settings) float64 { return float64(s.MaxHeadBytes()) }, 1 << 10, 1 << 20, down},
+	{"maxConnections", `"maxConnections": `, func(s configurer.Settings) float64 { return float64(s.MaxConnections()) }, 1, 1 << 20, down},
+	{"minBodyBytesPerSecond", `"minBodyBytesPerSecond": `, func(s configurer.Settings) float64 { return float64(s.MinBodyRate()) }, 1, 1 << 30, down},
 }
 
 func down(whole, _ float64) float64         { return whole }
@@ -37,7 +40,7 @@
 
 // withNumber returns settings in which the value of a field is replaced.
 func withNumber(before, value string) string {
-	text := strings.Replace(earlierTemplate, `"linkMegabits"`, `"maxEventKilobytes": 128, "linkMegabits"`, 1)
+	text := strings.Replace(earlierTemplate, `"linkMegabits"`, `"maxEventKilobytes": 128, "maxHeadKilobytes": 64, "maxConnections": 100, "minBodyBytesPerSecond": 1, "linkMegabits"`, 1)
 	head, tail, _ := strings.Cut(text, before)
 	return head + before + value + tail[strings.IndexAny(tail, ",\n}"):]
 }
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -28,8 +28,11 @@
 	// for a connection to it.
 	refusedByEvacuation   metrics.Counter
 	withdrawnByEvacuation metrics.Counter
-	firstByte             metrics.Histogram // milliseconds
-	duration              metrics.Histogram // milliseconds
+	// bodiesOverBudget counts the requests that were refused since no memory was left for
+	// their bodies, and sendersEnded those whose bodies did not arrive in time.
+	bodiesOverBudget, sendersEnded metrics.Counter
+	firstByte                      metrics.Histogram // milliseconds
+	duration                       metrics.Histogram // milliseconds
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -53,6 +56,9 @@
 		refusedByEvacuation:   counter("requestsRefusedByEvacuation"),
 		withdrawnByEvacuation: counter("requestsWithdrawnByEvacuation"),
 
+		bodiesOverBudget: counter("bodiesOverBudget"),
+		sendersEnded:     counter("sendersEnded"),
+
 		firstByte: histogram("firstByteMilliseconds"),
 		duration:  histogram("requestMilliseconds"),
 	}
