--- a/internal/recorder/writer_test.go
+++ b/internal/recorder/writer_test.go
@@ -50,3 +50,23 @@
 		t.Fatalf("%d bytes written: %.200q", len(text), text)
 	}
 }
+
+// Guards against a process that panics at the end of a planned stop, since a goroutine that
+// outlasts the stop logs, for example a signal.
+func TestWriteAfterCloseIsHarmless(t *testing.T) {
+	var out bytes.Buffer
+	w := recorder.NewWriter(&out)
+	for _, line := range []string{"first\n", "second\n"} {
+		if _, err := w.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Close()
+	if _, err := w.Write([]byte("late\n")); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	if got := out.String(); got != "first\nsecond\n" {
+		t.Errorf("written: %q", got)
+	}
+}
