--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -38,6 +38,8 @@
 	// maxStrayResponses limits how many responses are read until one belongs to the
 	// request. Informational (1xx) responses count as well.
 	maxStrayResponses = 4
+	// minStatus and maxStatus are the lowest and the highest status codes (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
 	// maxStrayBytes limits the body size of a response to another request.
 	maxStrayBytes = 1 << 20
 )
@@ -272,6 +274,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return nil, errors.Errorf("the response has the status %03d, which is none", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
