--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -27,6 +27,9 @@
 const (
 	readBufferBytes = 4 << 10
 	headBufferBytes = 1 << 10
+	// writeResultTimeout is how long the end of a response without a length waits for the
+	// result of writing the request.
+	writeResultTimeout = 100 * time.Millisecond
 	// maxCopiedBytes limits the bodies that are copied behind the head of their request.
 	maxCopiedBytes = 8 << 10
 	// maxIdleTime is well below the idle timeouts of targets. An idle connection must
@@ -170,12 +173,27 @@
 // not framed is also that of its connection.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && !r.bodyComplete {
+		if !r.Framed() && !r.awaitWritten() {
+			return n, io.ErrUnexpectedEOF
+		}
 		r.bodyComplete = true
 	}
 	return n, err
 }
 
+// awaitWritten reports whether the request was written. The kernel reports the reset of a
+// connection once: if that was to the writer of the request, the body seems to end in an orderly
+// way.
+func (r *Response) awaitWritten() bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	case <-time.After(writeResultTimeout):
+		return false
+	}
+}
+
 // Close releases the response. The connection returns to the pool if it can be reused,
 // and is closed otherwise.
 func (r *Response) Close() {
