gateway: the status of a body that was not read comes from the listener

The gateway mapped the errors of package bodyreader to a status and a reason by itself, as listener.BodyStatus does for all other addresses. Status, reason, counters and log lines are unchanged.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,13 +3,12 @@
 import (
 	"io"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/bodyreader"
+	"radishshed.example/radishshed/internal/listener"
 )
 
 const (
@@ -62,20 +61,18 @@
 // bodyRefusal returns the refusal of a request whose body was not read.
 func (q *request) bodyRefusal(err error) *refusal {
 	g := q.gateway
-	switch {
-	case errors.Is(err, bodyreader.ErrNoMemory):
+	status, reason := listener.BodyStatus(err)
+	retryAfter := time.Duration(0)
+	switch status {
+	case http.StatusServiceUnavailable:
+		retryAfter = memoryRetryAfter
 		g.meters.bodiesOverBudget.Inc(1)
 		g.clientLog.Warn("requests refused since no memory is left for their bodies", zap.Int64("length", q.http.ContentLength),
 			zap.Int64("bytesReserved", g.budgeter.Used()), zap.Int64("budget", g.budgeter.Total()), zap.Int64("counter", g.meters.bodiesOverBudget.Count()))
-		return newRefusal(http.StatusServiceUnavailable, "memoryFull", memoryRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case http.StatusRequestTimeout:
 		g.meters.sendersEnded.Inc(1)
 		g.clientLog.Warn("requests refused since their bodies have not arrived in time", zap.Int64("length", q.http.ContentLength),
 			zap.Duration("took", time.Since(q.arrivedAt)), zap.Int64("counter", g.meters.sendersEnded.Count()))
-		return newRefusal(http.StatusRequestTimeout, "bodyNotInTime", 0)
-	case errors.Is(err, bodyreader.ErrTooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0)
-	default:
-		return newRefusal(http.StatusBadRequest, "bodyNotRead", 0)
 	}
+	return newRefusal(status, reason, retryAfter)
 }
