--- a/internal/placer/placement.go
+++ b/internal/placer/placement.go
@@ -89,13 +89,6 @@
 	t.backoff = 0
 }
 
-// AwaitsFirstEvent reports whether nothing of the response has arrived yet.
-func (p *Placement) AwaitsFirstEvent() bool {
-	p.placer.mutex.Lock()
-	defer p.placer.mutex.Unlock()
-	return p.awaitsFirstEvent
-}
-
 // Outcome is how the use of a target ended. The interface is sealed: its only
 // implementations are Served, Failed, Rejected, Paused, Unreachable and Abandoned.
 type Outcome interface{ isOutcome() }
