--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,8 @@
 func main() {
 	cases := map[string]func(r *record, trouble bool) (bool, error){
 		"late-heartbeat": lateHeartbeat,
+		"changed-query":  changedQuery, "same-query": sameQuery,
+		"slow-crash": slowCrash, "long-prompt": longPrompt, "short-prompt": shortPrompt,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD-FILE")
--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -35,6 +35,8 @@
 	crashes func(r *http.Request, body []byte) bool
 	// stream, if set, writes the answer of a request.
 	stream func(w http.ResponseWriter, r *http.Request)
+	// crashAfter is how many events it writes before it ends.
+	crashAfter int
 
 	mutex      sync.Mutex
 	born       int64
@@ -171,6 +173,10 @@
 	}()
 	t.fleet.record.log("replica %s begins to run %s", t.name, id)
 	if t.crashes != nil && t.crashes(r, body) {
+		if t.crashAfter > 0 {
+			time.Sleep(t.work)
+			writeSomeEvents(w, r, t.crashAfter)
+		}
 		t.onCrash(id)
 		t.crash()
 		panic(http.ErrAbortHandler)
