--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -100,18 +100,11 @@
 		seeds = append(seeds, fmt.Sprintf("%s.1.%d:%d", f.prefix, i+1, f.admin))
 	}
 	seedList, _ := json.Marshal(seeds)
-	zones := []string{"za", "zb", "zc"}
 	for i := range controls {
-		ip := fmt.Sprintf("%s.1.%d", f.prefix, i+1)
-		data := filepath.Join(folder, "data-"+ip)
-		if err := os.Mkdir(data, 0o700); err != nil {
+		p, err := f.newControl(i+1, seeds, true)
+		if err != nil {
 			return nil, err
 		}
-		p := &process{name: fmt.Sprintf("core-%d", i+1), ip: ip, settings: filepath.Join(folder, ip+".json")}
-		p.args = []string{"control", "--platform", "--settings", p.settings}
-		f.writeSettings(p, fmt.Sprintf(`{"vm": %q, "dataCentre": %q, "dataCentres": ["za","zb","zc"], "linkAddress": "%s:%d",
- "operatorAddress": "%s:%d", "seeds": %s, "openLinks": true, "firstStart": true, "dataFolder": %q, "memoryMegabytes": 280}`,
-			ip, zones[i%3], ip, f.link, ip, f.admin, seedList, data))
 		f.controls = append(f.controls, p)
 	}
 	for i := range gateways {
@@ -128,6 +121,27 @@
 	return f, nil
 }
 
+var zones = []string{"za", "zb", "zc"}
+
+// newControl returns a core machine with an empty disk that is not running.
+func (f *fleet) newControl(number int, seeds []string, bootstrap bool) (*process, error) {
+	seedList, err := json.Marshal(seeds)
+	if err != nil {
+		return nil, err
+	}
+	ip := fmt.Sprintf("%s.1.%d", f.prefix, number)
+	data := filepath.Join(f.folder, "data-"+ip)
+	if err := os.Mkdir(data, 0o700); err != nil {
+		return nil, err
+	}
+	p := &process{name: fmt.Sprintf("core-%d", number), ip: ip, settings: filepath.Join(f.folder, ip+".json")}
+	p.args = []string{"control", "--platform", "--settings", p.settings}
+	f.writeSettings(p, fmt.Sprintf(`{"vm": %q, "dataCentre": %q, "dataCentres": ["za","zb","zc"], "linkAddress": "%s:%d",
+ "operatorAddress": "%s:%d", "seeds": %s, "openLinks": true, "firstStart": %t, "dataFolder": %q, "memoryMegabytes": 280}`,
+		ip, zones[(number-1)%3], ip, f.link, ip, f.admin, seedList, bootstrap, data))
+	return p, nil
+}
+
 // repositoryRoot returns the folder that holds target/radishshed.
 func repositoryRoot() (string, error) {
 	folder, err := os.Getwd()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 func main() {
 	cases := map[string]func(r *record, trouble bool) (bool, error){
 		"late-heartbeat": lateHeartbeat,
+		"replace-core":   replaceCore,
 		"changed-query":  changedQuery, "same-query": sameQuery,
 		"slow-crash": slowCrash, "long-prompt": longPrompt, "short-prompt": shortPrompt,
 	}
--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -37,6 +37,8 @@
 	stream func(w http.ResponseWriter, r *http.Request)
 	// crashAfter is how many events it writes before it ends.
 	crashAfter int
+	// answers, if set, adds to the head of an answer, and reports whether the request is turned away.
+	answers func(h http.Header, now time.Time) bool
 
 	mutex      sync.Mutex
 	born       int64
@@ -154,23 +156,29 @@
 	}
 	t.mutex.Lock()
 	full := t.running >= t.capacity
+	counted := !full
 	t.arrivals = append(t.arrivals, arrival{time.Now(), id, r.Header.Clone(), !full})
-	if !full {
+	if counted {
 		t.running++
 	}
 	running := t.running
 	t.mutex.Unlock()
 	w.Header().Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", running, t.capacity))
+	if t.answers != nil {
+		full = t.answers(w.Header(), time.Now()) || full
+	}
+	defer func() {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		if counted {
+			t.running--
+		}
+	}()
 	if full {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() {
-		t.mutex.Lock()
-		t.running--
-		t.mutex.Unlock()
-	}()
 	t.fleet.record.log("replica %s begins to run %s", t.name, id)
 	if t.crashes != nil && t.crashes(r, body) {
 		if t.crashAfter > 0 {
