--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,7 +20,7 @@
 		"late-heartbeat": lateHeartbeat,
 		"replace-core":   replaceCore,
 		"changed-query":  changedQuery, "same-query": sameQuery,
-		"slow-crash": slowCrash, "long-prompt": longPrompt, "short-prompt": shortPrompt,
+		"endless-heads": endlessHeads, "dark-crash": darkCrash, "slow-crash": slowCrash, "long-prompt": longPrompt, "short-prompt": shortPrompt,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD-FILE")
--- a/review/standins/poison.go
+++ b/review/standins/poison.go
@@ -71,6 +71,8 @@
 	poisonEvery   time.Duration
 	length        time.Duration
 	stream        func(w http.ResponseWriter, r *http.Request)
+	// dark makes replicas fall silent before they are back, as a machine does that loses power.
+	dark bool
 	// crashAfter is how many events a replica has written when it ends.
 	crashAfter int
 	// allowedCrashes is after which crash the requests must no longer be sent.
@@ -89,7 +91,7 @@
 	judge := &crashJudge{}
 	for i := range o.replicas {
 		t := &target{fleet: f, name: fmt.Sprintf("i-%d", i+1), service: o.service, ip: fmt.Sprintf("%s.3.%d", f.prefix, i+1), port: f.targets,
-			zone: []string{"za", "zb", "zc"}[i%3], version: "v1", capacity: o.capacity, work: o.work, downtime: 3 * time.Second, stream: o.stream, crashAfter: o.crashAfter}
+			zone: []string{"za", "zb", "zc"}[i%3], version: "v1", capacity: o.capacity, work: o.work, downtime: 3 * time.Second, stream: o.stream, crashAfter: o.crashAfter, dark: o.dark}
 		t.crashes = func(q *http.Request, body []byte) bool {
 			if !o.fatal(q, body) {
 				return false
@@ -132,14 +134,19 @@
 
 // changedQuery repeats one request under which replicas end, with the same path, caller and body,
 // and another query each time.
-func changedQuery(r *record, trouble bool) (bool, error) { return poisonedOrder(r, trouble, true) }
+func changedQuery(r *record, trouble bool) (bool, error) {
+	return poisonedOrder(r, trouble, true, false)
+}
 
 // sameQuery does the same without a change of the query.
-func sameQuery(r *record, trouble bool) (bool, error) { return poisonedOrder(r, trouble, false) }
+func sameQuery(r *record, trouble bool) (bool, error) { return poisonedOrder(r, trouble, false, false) }
+
+// darkCrash repeats one order under which each replica falls silent until it is back.
+func darkCrash(r *record, trouble bool) (bool, error) { return poisonedOrder(r, trouble, false, true) }
 
-func poisonedOrder(r *record, trouble, changes bool) (bool, error) {
+func poisonedOrder(r *record, trouble, changes, dark bool) (bool, error) {
 	return runPoison(r, trouble, poisonOptions{
-		service: "shop", replicas: 5, capacity: 6, work: 60 * time.Millisecond,
+		service: "shop", replicas: 5, capacity: 6, work: 60 * time.Millisecond, dark: dark,
 		fatal: func(_ *http.Request, body []byte) bool { return string(body) == "poison" },
 		sound: func(n int) attempt {
 			return orderAttempt(fmt.Sprintf("s%06d", n), "/orders/place", fmt.Sprintf("order %d", n))
--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -37,6 +37,8 @@
 	stream func(w http.ResponseWriter, r *http.Request)
 	// crashAfter is how many events it writes before it ends.
 	crashAfter int
+	// dark makes it fall silent for its downtime when it ends: nothing is answered or closed.
+	dark bool
 	// answers, if set, adds to the head of an answer, and reports whether the request is turned away.
 	answers func(h http.Header, now time.Time) bool
 
@@ -53,6 +55,8 @@
 	nextNode   int
 	downtime   time.Duration
 	generation int
+	// awake is closed when a target that is silent is back, and nil while it is not silent.
+	awake chan struct{}
 }
 
 func (t *target) address() string { return fmt.Sprintf("%s:%d", t.ip, t.port) }
@@ -85,6 +89,24 @@
 	if server == nil {
 		return
 	}
+	if t.dark {
+		awake := make(chan struct{})
+		t.mutex.Lock()
+		t.awake = awake
+		t.mutex.Unlock()
+		t.fleet.record.log("replica %s has fallen silent", t.name)
+		time.AfterFunc(t.downtime, func() {
+			_ = server.Close()
+			t.mutex.Lock()
+			t.awake = nil
+			t.mutex.Unlock()
+			close(awake)
+			if err := t.open(); err != nil {
+				t.fleet.record.log("replica %s cannot start: %v", t.name, err)
+			}
+		})
+		return
+	}
 	_ = server.Close()
 	t.fleet.record.log("replica %s has crashed", t.name)
 	time.AfterFunc(t.downtime, func() {
@@ -139,6 +161,7 @@
 
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.awaitAwake()
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", t.name)
 		return
@@ -187,6 +210,7 @@
 		}
 		t.onCrash(id)
 		t.crash()
+		t.awaitAwake()
 		panic(http.ErrAbortHandler)
 	}
 	select {
@@ -194,6 +218,7 @@
 	case <-r.Context().Done():
 		return
 	}
+	t.awaitAwake()
 	if t.stream != nil {
 		t.stream(w, r)
 		return
@@ -204,6 +229,17 @@
 	_, _ = w.Write(answer)
 }
 
+// awaitAwake blocks while the target is silent, and then ends the request with its connection.
+func (t *target) awaitAwake() {
+	t.mutex.Lock()
+	awake := t.awake
+	t.mutex.Unlock()
+	if awake != nil {
+		<-awake
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // received returns what has reached the target.
 func (t *target) received() []arrival {
 	t.mutex.Lock()
