review: the stand-ins lie in a folder named platform

Cause: a test of the project allows the platform's names in Go files of such folders only. Measured: TestNamesStayInThisFolder failed before and passes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
 set -eu
-cd "$(dirname "$0")/standins"
-GOFLAGS=-mod=mod go build -o ../../target/review-standins .
+cd "$(dirname "$0")/standins/platform"
+GOFLAGS=-mod=mod go build -o ../../../target/review-standins .
