--- a/review/standins/platform/fleet.go
+++ b/review/standins/platform/fleet.go
@@ -72,9 +72,9 @@
 	version int
 }
 
-// freePort returns a port that no process uses on any loopback address.
+// freePort returns a port that no process uses on the loopback address.
 func freePort() int {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
