controller: log each change of membership and count the voters that respond

Change: log lines for a new membership with its voters, learners and each member's silence, and for who asks to join; metrics logVoters, logRespondingVoters and logLearners. No behaviour changes.

--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
+	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/pkg/coordination/replicator"
 	"radishshed.example/radishshed/pkg/protocol/identifier"
 	"radishshed.example/radishshed/pkg/state/applier"
@@ -110,8 +112,12 @@
 		return c.redirect()
 	}
 	if err != nil {
+		c.log.Info("cannot admit member yet", zap.Stringer("member", joiner), recorder.Err(err))
 		return nil, err
 	}
+	if !c.status.Load().membership.Has(joiner) {
+		c.log.Info("member asked to join", zap.Stringer("member", joiner))
+	}
 	return messenger.EncodeResponse(messenger.NewResponse(nil))
 }
 
--- a/internal/controller/periodic.go
+++ b/internal/controller/periodic.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"radishshed.example/radishshed/internal/messenger"
@@ -68,6 +69,15 @@
 	if s.role == replicator.Leader {
 		c.promoteLearners(ctx, *s)
 	}
+	c.recordMembership(*s)
+}
+
+// recordMembership updates the metrics of the membership. Only the leader knows which voters
+// respond; other members report none.
+func (c *Controller) recordMembership(s status) {
+	metrics.GetOrRegisterGauge("logVoters", c.metrics).Update(int64(len(s.membership.Voters())))
+	metrics.GetOrRegisterGauge("logLearners", c.metrics).Update(int64(len(s.membership.Learners())))
+	metrics.GetOrRegisterGauge("logRespondingVoters", c.metrics).Update(int64(s.respondingVoters))
 }
 
 // join asks all connected control VMs to add this member to the log. Only the
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,6 +79,9 @@
 	leader      identifier.Process
 	membership  replicator.Membership
 	commitIndex uint64
+	// respondingVoters is the number of voters that have responded to this leader lately, itself
+	// included. It is zero on other members.
+	respondingVoters int
 }
 
 // replication drives the replica, its journal and the state machine. Only the
@@ -375,11 +379,18 @@
 }
 
 func (r *replication) publishStatus() {
-	s := status{r.replica.Role(), r.replica.Term(), r.replica.Leader(), r.replica.Membership(), r.replica.CommitIndex()}
+	s := status{
+		role: r.replica.Role(), term: r.replica.Term(), leader: r.replica.Leader(),
+		membership: r.replica.Membership(), commitIndex: r.replica.CommitIndex(),
+		respondingVoters: r.replica.RespondingVoters(),
+	}
 	if s.role != r.lastStatus.role || s.term != r.lastStatus.term || s.leader != r.lastStatus.leader {
 		r.log.Info("role",
 			zap.Stringer("role", s.role), zap.Uint64("term", s.term), zap.Stringer("leader", s.leader))
 	}
+	if !s.membership.Equal(r.lastStatus.membership) {
+		r.logMembership(s)
+	}
 	if r.lastStatus.role == replicator.Leader && s.role != replicator.Leader {
 		r.failProposals()
 	}
@@ -390,6 +401,19 @@
 	}
 }
 
+// logMembership logs a new membership of the log and, on the leader, for how long each other
+// member has not responded.
+func (r *replication) logMembership(s status) {
+	var silence []string
+	for _, member := range append(s.membership.Voters(), s.membership.Learners()...) {
+		if ticks, ok := r.replica.TicksSinceResponse(member); ok {
+			silence = append(silence, fmt.Sprintf("%s:%s", member, time.Duration(ticks)*tickInterval))
+		}
+	}
+	r.log.Info("membership", zap.Stringers("voters", s.membership.Voters()), zap.Stringers("learners", s.membership.Learners()),
+		zap.Uint64("term", s.term), zap.Uint64("commitIndex", s.commitIndex), zap.Strings("sinceResponse", silence))
+}
+
 // failProposals fails all pending proposals with errInDoubt. Another leader may
 // still commit them.
 func (r *replication) failProposals() {
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -282,6 +282,38 @@
 	return removed, nil
 }
 
+// TicksSinceResponse returns the number of ticks since the member last responded to this
+// leader, and false if this member is not the leader or the other is none of its members.
+func (r *Replica) TicksSinceResponse(member identifier.Process) (int, bool) {
+	p := r.progress[member]
+	if r.role != Leader || p == nil {
+		return 0, false
+	}
+	return p.ticksSinceResponse, true
+}
+
+// RespondingVoters returns the number of voters that have responded to this leader within the
+// minimum election timeout, itself included, or zero if this member is not the leader.
+func (r *Replica) RespondingVoters() int {
+	if r.role != Leader {
+		return 0
+	}
+	responding := 0
+	for _, voter := range r.Membership().voters {
+		if voter == r.config.Self || r.responds(voter) {
+			responding++
+		}
+	}
+	return responding
+}
+
+// responds reports whether the member has responded to this leader within the minimum election
+// timeout.
+func (r *Replica) responds(member identifier.Process) bool {
+	p := r.progress[member]
+	return p != nil && p.ticksSinceResponse < r.config.ElectionTicks
+}
+
 func countChangedVoters(a, b Membership) int {
 	changed := 0
 	for _, voter := range a.voters {
--- a/pkg/coordination/replicator/replicator.go
+++ b/pkg/coordination/replicator/replicator.go
@@ -103,6 +103,11 @@
 	return slices.Contains(m.voters, p) || slices.Contains(m.learners, p)
 }
 
+// Equal reports whether both memberships have the same voters and learners in the same order.
+func (m Membership) Equal(other Membership) bool {
+	return slices.Equal(m.voters, other.voters) && slices.Equal(m.learners, other.learners)
+}
+
 func (m Membership) others(self identifier.Process) []identifier.Process {
 	var others []identifier.Process
 	for _, member := range append(m.Voters(), m.learners...) {
