replicator: a voter that is gone is removed whatever the number of voters

Cause: learners were promoted as long as there were fewer than five voters, and a silent voter was removed only at five. Three became four with one gone. Change: AdjustMembership decides on the next single change for any number of voters, so that no change lets the log tolerate fewer losses. Learners that are gone are removed, too; one that was only cut off forgets its leader and asks again. No message and no file changes; an old leader still follows the old rule.

--- a/internal/controller/periodic.go
+++ b/internal/controller/periodic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -27,8 +28,11 @@
 	// maxVoters is five, so that the log tolerates the loss of two voters at once.
 	maxVoters = 5
 	// voterTimeout is the time without a response after which a voter may be
-	// replaced. It is longer than the restart of a VM takes.
+	// removed. It is longer than the restart of a VM takes.
 	voterTimeout = 2500 * time.Millisecond
+	// learnerTimeout is the time without a response after which a learner is removed. Learners that
+	// are gone cost little.
+	learnerTimeout = 30 * time.Second
 	// orphanedIntentDelay is how long an intent must have been orphaned before a
 	// router is asked to resolve it. Until then the last bytes of the retired router
 	// may still be in transit to a target.
@@ -42,6 +46,12 @@
 	clockDrift = 5 * time.Second
 )
 
+var membershipPolicy = replicator.MembershipPolicy{
+	MaxVoters:           maxVoters,
+	VoterTimeoutTicks:   int(voterTimeout / tickInterval),
+	LearnerTimeoutTicks: int(learnerTimeout / tickInterval),
+}
+
 // runPeriodicTasks runs the periodic tasks of a control VM. All but the
 // notifications of routers are tasks of the leader.
 func (c *Controller) runPeriodicTasks(ctx context.Context) {
@@ -59,15 +69,15 @@
 }
 
 // maintainMembership joins the replicated log if this VM is not a member or
-// knows no leader. On the leader, it also promotes learners and replaces
-// unresponsive voters, so that a quorum of voters stays available.
+// knows no leader. On the leader, it also adjusts the membership to the members
+// that respond, so that a quorum of voters stays available.
 func (c *Controller) maintainMembership(ctx context.Context) {
 	s := c.status.Load()
 	if !s.membership.Has(c.member) || s.leader.IsZero() {
 		c.join(ctx)
 	}
 	if s.role == replicator.Leader {
-		c.promoteLearners(ctx, *s)
+		c.adjustMembership(ctx)
 	}
 	c.recordMembership(*s)
 }
@@ -95,36 +105,29 @@
 	}
 }
 
-// promoteLearners promotes learners that have caught up with the log to voters.
-// If there are maxVoters already, it removes an unresponsive voter instead, if
-// there is one, so that a later call can promote a learner in its place.
-func (c *Controller) promoteLearners(ctx context.Context, s status) {
-	if len(s.membership.Learners()) > 0 && len(s.membership.Voters()) >= maxVoters {
-		c.replaceUnresponsive(ctx)
-		return
-	}
-	for _, learner := range s.membership.Learners() {
-		err := c.changeMembership(ctx, func(r *replicator.Replica) error {
-			return r.Promote(learner)
-		})
-		if err != nil {
-			c.log.Info("cannot promote learner yet", zap.Stringer("member", learner), recorder.Err(err))
-		}
-	}
-}
-
-func (c *Controller) replaceUnresponsive(ctx context.Context) {
-	var removed identifier.Process
+// adjustMembership promotes learners that have caught up and removes members that are gone, one
+// change at a time.
+func (c *Controller) adjustMembership(ctx context.Context) {
+	var adjustment replicator.Adjustment
 	err := c.changeMembership(ctx, func(r *replicator.Replica) error {
 		var err error
-		removed, err = r.RemoveUnresponsiveVoter(int(voterTimeout / tickInterval))
+		adjustment, err = r.AdjustMembership(membershipPolicy)
 		return err
 	})
-	switch {
-	case err != nil:
-		c.log.Info("cannot remove unresponsive voter yet", recorder.Err(err))
-	case !removed.IsZero():
-		c.log.Warn("removed unresponsive voter; a learner can replace it", zap.Stringer("member", removed))
+	if err != nil {
+		c.log.Info("cannot adjust the membership yet", recorder.Err(err))
+		return
+	}
+	switch a := adjustment.(type) {
+	case replicator.Unchanged:
+	case replicator.VoterRemoved:
+		c.log.Warn("removing unresponsive voter", zap.Stringer("member", a.Member()))
+	case replicator.LearnerPromoted:
+		c.log.Info("promoting learner", zap.Stringer("member", a.Member()))
+	case replicator.LearnerRemoved:
+		c.log.Warn("removing unresponsive learner", zap.Stringer("member", a.Member()))
+	default:
+		c.log.Error("unknown adjustment of the membership", zap.String("type", fmt.Sprintf("%T", a)))
 	}
 }
 
--- a/pkg/coordination/replicator/election.go
+++ b/pkg/coordination/replicator/election.go
@@ -14,9 +14,16 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionElapsedTicks >= r.electionTimeoutTicks && r.isVoter() {
+	if r.electionElapsedTicks < r.electionTimeoutTicks {
+		return
+	}
+	if r.isVoter() {
 		r.campaign(true, false)
+		return
 	}
+	// A learner that was removed while it could not be reached hears of it from no one. Without a
+	// leader its driver asks to join again.
+	r.leader = identifier.Process{}
 }
 
 func (r *Replica) tickLeader() {
--- a/pkg/coordination/replicator/membership_test.go
+++ b/pkg/coordination/replicator/membership_test.go
@@ -29,22 +29,23 @@
 }
 
 // Guards against removing a voter without a replacement: an unresponsive voter
-// is removed only when a learner has caught up. Replacing a permanently failed
+// of an odd number is removed only when a learner has caught up. Replacing a permanently failed
 // voter lets a log of three voters tolerate the later loss of a second one.
 func TestUnresponsiveVoterIsRemovedForLearner(t *testing.T) {
 	const ticks = 20
+	policy := MembershipPolicy{MaxVoters: 3, VoterTimeoutTicks: ticks, LearnerTimeoutTicks: 2 * ticks}
 	learner := identifier.NewProcess("d", 1)
 	cases := []struct {
 		name         string
 		hasLearner   bool
 		unresponsive bool
 		caughtUp     bool
-		want         identifier.Process
+		want         Adjustment
 	}{
-		{"no learner", false, true, false, identifier.Process{}},
-		{"learner behind", true, true, false, identifier.Process{}},
-		{"no unresponsive voter", true, false, true, identifier.Process{}},
-		{"learner replaces voter", true, true, true, memberC},
+		{"no learner", false, true, false, Unchanged{}},
+		{"learner behind", true, true, false, Unchanged{}},
+		{"no unresponsive voter", true, false, true, Unchanged{}},
+		{"learner replaces voter", true, true, true, VoterRemoved{memberC}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -74,9 +75,9 @@
 					acknowledge(learner)
 				}
 			}
-			removed, err := r.RemoveUnresponsiveVoter(ticks)
-			if err != nil || removed != c.want {
-				t.Fatalf("removed %s, %v; want %s", removed, err, c.want)
+			got, err := r.AdjustMembership(policy)
+			if err != nil || got != c.want {
+				t.Fatalf("%T%v, %v; want %T%v", got, got, err, c.want, c.want)
 			}
 		})
 	}
--- a/pkg/coordination/replicator/property_test.go
+++ b/pkg/coordination/replicator/property_test.go
@@ -36,23 +36,34 @@
 	running  bool
 }
 
+// reporter reports a failure of a test.
+type reporter interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
+// policy is that of all leaders of a cluster.
+var policy = replicator.MembershipPolicy{MaxVoters: 5, VoterTimeoutTicks: 15, LearnerTimeoutTicks: 60}
+
 // cluster drives replicas over a simulated network that drops, duplicates and
 // reorders messages.
 type cluster struct {
-	t           *rapid.T
-	members     []*member
-	network     [][]byte
-	committed   map[uint64]string
-	leaders     map[uint64]identifier.Process
-	proposals   int
-	random      *rand.Rand
-	isolatedVMs map[string]bool // VMs whose messages are dropped
+	t         reporter
+	members   []*member
+	network   [][]byte
+	committed map[uint64]string
+	leaders   map[uint64]identifier.Process
+	proposals int
+	// replacements counts the VMs that were replaced.
+	replacements int
+	random       *rand.Rand
+	isolatedVMs  map[string]bool // VMs whose messages are dropped
 }
 
-func newCluster(t *rapid.T, size int) *cluster {
+func newCluster(t reporter, size int, seed uint64) *cluster {
 	c := &cluster{
 		t: t, committed: map[uint64]string{}, leaders: map[uint64]identifier.Process{},
-		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), isolatedVMs: map[string]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), isolatedVMs: map[string]bool{},
 	}
 	for i := range size {
 		m := &member{id: identifier.NewProcess(fmt.Sprintf("control-%d", i), 1)}
@@ -65,8 +76,8 @@
 	for range 400 {
 		c.tickAndDeliverAll()
 	}
-	if got := len(c.members[0].replica.Membership().Voters()); got != size {
-		t.Fatalf("%d voters after the start, want %d", got, size)
+	if got := len(c.members[0].replica.Membership().Voters()); got != min(size, policy.MaxVoters) {
+		t.Fatalf("%d voters after the start of %d members", got, size)
 	}
 	return c
 }
@@ -210,19 +221,20 @@
 	return text
 }
 
-// addMembers performs the leader's periodic task of admitting and promoting
-// members.
+// addMembers performs the periodic task of all members: those that are not part of the log or
+// know no leader ask the leader to be admitted, and the leader adjusts the membership.
 func (c *cluster) addMembers() {
 	for _, leader := range c.members {
-		if !leader.running || leader.replica.Role() != replicator.Leader {
+		if !leader.running || leader.replica.Role() != replicator.Leader || c.isolatedVMs[leader.id.VM()] {
 			continue
 		}
 		for _, m := range c.members {
-			if m.running {
-				_ = leader.replica.Admit(m.id)   // retried in a later round
-				_ = leader.replica.Promote(m.id) // retried in a later round
+			known := m.replica.Membership().Has(m.id) && !m.replica.Leader().IsZero()
+			if m.running && !known && !c.isolatedVMs[m.id.VM()] {
+				_ = leader.replica.Admit(m.id) // retried in a later round
 			}
 		}
+		_, _ = leader.replica.AdjustMembership(policy) // retried in a later round
 		c.flush(leader)
 	}
 }
@@ -251,6 +263,14 @@
 	c.start(m)
 }
 
+// replace replaces the member's VM by another one with an empty disk, for good.
+func (c *cluster) replace(m *member) {
+	c.replacements++
+	m.id = identifier.NewProcess(fmt.Sprintf("successor-%d", c.replacements), 1)
+	m.snapshot, m.records = nil, nil
+	c.start(m)
+}
+
 func (c *cluster) propose() {
 	for _, m := range c.members {
 		if m.running && m.replica.Role() == replicator.Leader {
@@ -292,7 +312,7 @@
 	}
 }
 
-// injectFault injects one fault, ends faults, or does nothing.
+// injectFault injects one fault or ends faults.
 func (c *cluster) injectFault(kind int) {
 	m := c.members[c.random.IntN(len(c.members))]
 	switch kind {
@@ -306,6 +326,10 @@
 		if c.canLoseDisk(m) {
 			c.loseDisk(m)
 		}
+	case 9: // the member's VM is replaced for good
+		if c.canLoseDisk(m) {
+			c.replace(m)
+		}
 	case 3: // the member compacts its log
 		c.compact(m)
 	case 4: // the member's VM is isolated or reconnected
@@ -325,7 +349,7 @@
 // runRandomFaults runs a cluster through random faults and checks that it
 // recovers.
 func runRandomFaults(t *rapid.T) {
-	c := newCluster(t, rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"))
+	c := newCluster(t, rapid.SampledFrom([]int{3, 3, 4, 5, 6}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
 	loss := rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "lossPercent")
 	for range 40 {
 		c.injectFault(c.random.IntN(10))
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -211,10 +211,21 @@
 		return err
 	}
 	r.appendAsLeader(MembershipChange, data)
+	r.forgetFormerMembers()
 	r.broadcast()
 	return nil
 }
 
+// forgetFormerMembers drops the progress of members that have been removed. One that is admitted
+// again would otherwise count as silent since its removal.
+func (r *Replica) forgetFormerMembers() {
+	for member := range r.progress {
+		if !r.Membership().Has(member) {
+			delete(r.progress, member)
+		}
+	}
+}
+
 // CaughtUp reports whether the learner has replicated every committed entry.
 func (r *Replica) CaughtUp(learner identifier.Process) bool {
 	p, ok := r.progress[learner]
@@ -260,28 +271,6 @@
 	return r.snapshot, r.vote, slices.Clone(r.entries)
 }
 
-// RemoveUnresponsiveVoter proposes to remove a voter that has not responded
-// for the given number of ticks, if a learner that has caught up is ready to
-// replace it. It returns the removed voter, or the zero value if there is
-// none.
-func (r *Replica) RemoveUnresponsiveVoter(ticks int) (removed identifier.Process, err error) {
-	if r.role != Leader {
-		return removed, ErrNotLeader
-	}
-	m := r.Membership()
-	if !slices.ContainsFunc(m.learners, r.CaughtUp) {
-		return removed, nil
-	}
-	for _, voter := range m.voters {
-		p := r.progress[voter]
-		if voter == r.config.Self || p == nil || p.ticksSinceResponse < ticks {
-			continue
-		}
-		return voter, r.ChangeMembership(NewMembership(withoutMember(m.voters, voter), m.learners))
-	}
-	return removed, nil
-}
-
 // TicksSinceResponse returns the number of ticks since the member last responded to this
 // leader, and false if this member is not the leader or the other is none of its members.
 func (r *Replica) TicksSinceResponse(member identifier.Process) (int, bool) {
