replicator: leadership is not transferred to a voter that is gone

A leader that stops asks the voter with the highest match index to take over, the last of equals, though it may be gone: up to 2 s of its stop pass and others wait for an election timeout. Change: only voters that respond are asked. Test: TestLeadershipIsNotTransferredToSilentVoter; before, the request went to the silent voter.

--- a/pkg/coordination/replicator/membership_test.go
+++ b/pkg/coordination/replicator/membership_test.go
@@ -82,3 +82,26 @@
 		})
 	}
 }
+
+// Guards against a planned stop that hands the leadership to a voter that is gone: the log then waits
+// for an election timeout, or for the end of the stop.
+func TestLeadershipIsNotTransferredToSilentVoter(t *testing.T) {
+	r := newMember(t, 1)
+	elect(t, r)
+	persist(r)
+	acknowledge := func(from identifier.Process) {
+		r.Step(AppendResponse{header: header{from, memberA, r.Term()}, success: true, index: r.lastIndex()})
+	}
+	acknowledge(memberC)
+	acknowledge(memberB)
+	for range r.config.ElectionTicks {
+		r.Tick()
+		acknowledge(memberB)
+	}
+	r.TakeOutput()
+	r.TransferLeadership()
+	messages := r.TakeOutput().messages
+	if len(messages) != 1 || messages[0].To() != memberB {
+		t.Fatalf("%v, want a request to %s to campaign", messages, memberB)
+	}
+}
--- a/pkg/coordination/replicator/replica.go
+++ b/pkg/coordination/replicator/replica.go
@@ -232,9 +232,8 @@
 	return r.role == Leader && ok && p.matchIndex >= r.commitIndex
 }
 
-// TransferLeadership asks the other voter with the highest match index to start
-// an election. It does nothing if this member is not the leader or there is no
-// other voter.
+// TransferLeadership asks the other voter with the highest match index, of those that respond, to
+// start an election. It does nothing if this member is not the leader or no other voter responds.
 func (r *Replica) TransferLeadership() {
 	if r.role != Leader {
 		return
@@ -242,7 +241,7 @@
 	var successor identifier.Process
 	var match uint64
 	for _, voter := range r.Membership().voters {
-		if p := r.progress[voter]; p != nil && p.matchIndex >= match {
+		if p := r.progress[voter]; r.responds(voter) && p.matchIndex >= match {
 			successor, match = voter, p.matchIndex
 		}
 	}
