controller: log each deregistration of a target with what this VM knows of it

Change: a log line with the start that the target states, the one that is known, its sequence and the end of its lease. No behaviour changes.

--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -133,6 +133,9 @@
 // from this VM either.
 func (c *Controller) DeregisterTarget(name string, incarnation uint64) error {
 	entry, ok := c.targetEntry(name)
+	c.log.Info("target deregisters", zap.String("target", name), zap.Uint64("incarnation", incarnation), zap.Bool("live", ok),
+		zap.Uint64("knownIncarnation", entry.Version().Incarnation()), zap.Uint64("knownSequence", entry.Version().Sequence()),
+		zap.Time("leaseExpiresAt", entry.ExpiresAt()))
 	if !ok {
 		return nil
 	}
