registrar: a departure is an entry of its own, and acknowledged once another process has it

Cause: a deregistration was looked up among live leases only; an expired one, or one that this VM did not know, was acknowledged and not recorded. A late heartbeat then made the target usable again. Change: package registrar. The departure is the entry that routers already share for responses that say so: no message and no file changes.

--- a/internal/adviser/departures.go
+++ b/internal/adviser/departures.go
@@ -11,8 +11,8 @@
 	// departurePrefix is the key prefix of disseminator entries that name a target which
 	// has said that it leaves. The incarnation of the version is that of the target.
 	departurePrefix = "leaving/"
-	// departureLease is how long such an entry is distributed to new processes.
-	departureLease = 5 * time.Minute
+	// DepartureLease is how long such an entry is distributed to new processes.
+	DepartureLease = 5 * time.Minute
 	// departureRetention is how long it is remembered that a run of a target leaves. By then
 	// it has ended.
 	departureRetention = 10 * time.Minute
@@ -35,12 +35,15 @@
 // Incarnation returns the incarnation of the target.
 func (d Departure) Incarnation() uint64 { return d.incarnation }
 
+// Key returns the key of the disseminator entry that tells other processes.
+func (d Departure) Key() string { return departurePrefix + d.target }
+
 // Entry returns the disseminator entry that tells other processes.
 func (d Departure) Entry(now time.Time) disseminator.Entry {
 	return disseminator.NewEntry(disseminator.EntryConfig{
-		Key:       departurePrefix + d.target,
+		Key:       d.Key(),
 		Version:   disseminator.NewVersion(d.incarnation, 1),
-		ExpiresAt: now.Add(departureLease),
+		ExpiresAt: now.Add(DepartureLease),
 	})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,7 @@
 	"radishshed.example/radishshed/internal/originsharer"
 	"radishshed.example/radishshed/internal/quarantiner"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/registrar"
 	"radishshed.example/radishshed/internal/timekeeper"
 	"radishshed.example/radishshed/internal/verdictsharer"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
@@ -63,6 +64,7 @@
 	timeline       *recorder.Timeline
 	endpoint       *linker.Endpoint
 	disseminator   *disseminator.Disseminator
+	registrar      *registrar.Registrar
 	replication    *replication
 	inputs         chan<- input
 	routerActivity *routerActivity
@@ -121,6 +123,7 @@
 		startedAt: uint64(time.Now().UnixNano()),
 	}
 	c.openQuarantine()
+	c.registrar = c.newRegistrar()
 	c.status.Store(&status{})
 	c.configuration.Store(&archiver.Configuration{})
 	c.catalogue.Store(&cataloguer.Record{})
--- a/internal/controller/discovery.go
+++ b/internal/controller/discovery.go
@@ -7,10 +7,9 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"radishshed.example/radishshed/internal/messenger"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/registrar"
 	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
@@ -21,11 +20,6 @@
 	// addressInterval is how often a control VM publishes its address.
 	addressInterval = 4 * time.Second
 	addressLease    = 12 * time.Second
-	// targetLease outlasts three announcements that are lost or delayed.
-	targetLease = 4500 * time.Millisecond
-	// renewalInterval is the shortest time between two disseminations of an
-	// unchanged announcement.
-	renewalInterval = 1500 * time.Millisecond
 )
 
 // runDiscovery publishes the address of this control VM and maintains links to
@@ -77,47 +71,27 @@
 	return slices.Compact(addresses)
 }
 
-// Announce disseminates the announcement of a target to the fleet.
-func (c *Controller) Announce(a selector.Announcement) error {
-	now := time.Now()
-	warmsAgain := false
-	if known, ok := c.targetEntry(a.Name()); ok && known.Version().Incarnation() == a.Incarnation() {
-		previous, err := selector.AnnouncementFrom(known)
-		if err == nil && a.WarmupEndsAt().IsZero() && previous.WarmupEndsAt().After(now) {
-			a = a.WithWarmupEndsAt(previous.WarmupEndsAt())
-		}
-		warmsAgain = err == nil && a.WarmupEndsAt().After(now) && !previous.WarmupEndsAt().After(now)
-		unchanged := err == nil && previous.State() == a.State() && previous.Address() == a.Address() && sameWarmup(previous, a, now)
-		if unchanged && known.ExpiresAt().Sub(now) > targetLease-renewalInterval {
-			return nil
-		}
-	}
-	c.origins.Publish(a, c.disseminator.Get, now)
-	entry, err := a.EntryUntil(now.Add(targetLease))
-	if err != nil {
-		return err
-	}
-	if err := c.disseminator.Put(entry); err != nil {
-		return err
-	}
-	if warmsAgain {
-		c.disseminator.Flush() // the next round of updates may come 250 ms later
-	}
-	if _, leaving := a.State().(selector.Leaving); leaving {
-		c.log.Info("target leaves", zap.String("target", a.Name()), zap.Uint64("incarnation", a.Incarnation()),
-			zap.Uint64("sequence", a.Sequence()))
-	}
-	return nil
+// newRegistrar returns the registrar of this control VM.
+func (c *Controller) newRegistrar() *registrar.Registrar {
+	return registrar.New(registrar.Config{
+		Table: c.disseminator,
+		Store: c.storeElsewhere,
+		OnAnnounced: func(a selector.Announcement, now time.Time) {
+			c.origins.Publish(a, c.disseminator.Get, now)
+		},
+		Log: c.log,
+	})
 }
 
-// sameWarmup reports whether two announcements state about the same end of a warm-up.
-// Announcements take unequal times.
-func sameWarmup(previous, a selector.Announcement, now time.Time) bool {
-	const ignored = 250 * time.Millisecond
-	if !previous.WarmupEndsAt().After(now) && !a.WarmupEndsAt().After(now) {
-		return true
-	}
-	return a.WarmupEndsAt().Sub(previous.WarmupEndsAt()).Abs() <= ignored
+// Announce distributes the announcement of a target to the fleet.
+func (c *Controller) Announce(ctx context.Context, a selector.Announcement) error {
+	return c.registrar.Announce(ctx, a, time.Now())
+}
+
+// DeregisterTarget records that a run of a target has left, so that no router sends further
+// requests to it.
+func (c *Controller) DeregisterTarget(ctx context.Context, d registrar.Deregistration) error {
+	return c.registrar.Deregister(ctx, d, time.Now())
 }
 
 // RecordMalformedWarmup records that the warm-up in the announcement of a target could
@@ -125,30 +99,3 @@
 func (c *Controller) RecordMalformedWarmup(target string) {
 	c.limits.RecordMalformedWarmup(target, time.Now())
 }
-
-// DeregisterTarget announces that a target has left, so that no router sends
-// further requests to its current incarnation. It does nothing if the
-// incarnation is neither zero nor the current one. It also does nothing if this
-// control VM has no entry of the target, since routers then cannot receive one
-// from this VM either.
-func (c *Controller) DeregisterTarget(name string, incarnation uint64) error {
-	entry, ok := c.targetEntry(name)
-	c.log.Info("target deregisters", zap.String("target", name), zap.Uint64("incarnation", incarnation), zap.Bool("live", ok),
-		zap.Uint64("knownIncarnation", entry.Version().Incarnation()), zap.Uint64("knownSequence", entry.Version().Sequence()),
-		zap.Time("leaseExpiresAt", entry.ExpiresAt()))
-	if !ok {
-		return nil
-	}
-	a, err := selector.AnnouncementFrom(entry)
-	if err != nil {
-		return err
-	}
-	if incarnation != 0 && incarnation != a.Incarnation() {
-		return nil
-	}
-	return c.Announce(a.Departure())
-}
-
-func (c *Controller) targetEntry(name string) (disseminator.Entry, bool) {
-	return c.disseminator.Get(selector.TargetKey(name))
-}
--- a/pkg/coordination/disseminator/disseminator.go
+++ b/pkg/coordination/disseminator/disseminator.go
@@ -120,6 +120,14 @@
 	return d.table.Get(key, d.config.Now())
 }
 
+// Lookup returns the entry with the key, whether or not its lease has expired. Expired entries are
+// kept for TableConfig.ExpiredRetention.
+func (d *Disseminator) Lookup(key string) (Entry, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.table.Lookup(key)
+}
+
 // Live returns the unexpired entries, ordered by key.
 func (d *Disseminator) Live() []Entry {
 	d.mutex.Lock()
--- a/pkg/coordination/disseminator/table.go
+++ b/pkg/coordination/disseminator/table.go
@@ -157,6 +157,12 @@
 	return e, ok && now.Before(e.expiresAt)
 }
 
+// Lookup returns the entry with the key, whether or not its lease has expired.
+func (t *Table) Lookup(key string) (Entry, bool) {
+	e, ok := t.entries[key]
+	return e, ok
+}
+
 // Live returns the unexpired entries, ordered by key.
 func (t *Table) Live(now time.Time) []Entry {
 	var live []Entry
