departuresharer: a departure that a target announces is shared like one in a response

A router that is cut off while the announcement's lease of 3 s lasts never hears that the target leaves, and uses it again after a late announcement. Change: routers that take such an announcement share the departure as an entry of its own, as for a response that says so. No message changes. Test: TestAnnouncedDepartureOutlivesItsLease; without the change the target is used.

--- a/internal/departuresharer/departuresharer.go
+++ b/internal/departuresharer/departuresharer.go
@@ -12,6 +12,7 @@
 
 	"radishshed.example/radishshed/internal/adviser"
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/internal/selector"
 	"radishshed.example/radishshed/pkg/coordination/disseminator"
 )
 
@@ -35,11 +36,25 @@
 // Observe records that a run of a target leaves if it says so in a response, and tells the
 // other processes.
 func (s *Sharer) Observe(target string, incarnation uint64, advice adviser.Advice, now time.Time) {
-	d := adviser.NewDeparture(target, incarnation)
-	if !advice.Leaving() || !s.config.Record(d, now) {
+	if advice.Leaving() {
+		s.record(adviser.NewDeparture(target, incarnation), "response", now)
+	}
+}
+
+// ObserveAnnouncement records that a run of a target leaves if its announcement says so, and tells
+// the other processes. The announcement itself reaches none that is cut off while its lease lasts.
+func (s *Sharer) ObserveAnnouncement(a selector.Announcement, now time.Time) {
+	if _, leaving := a.State().(selector.Leaving); leaving {
+		s.record(adviser.NewDeparture(a.Name(), a.Incarnation()), "announcement", now)
+	}
+}
+
+// record records a departure and tells the other processes, if it is new.
+func (s *Sharer) record(d adviser.Departure, source string, now time.Time) {
+	if !s.config.Record(d, now) {
 		return
 	}
-	s.log(d, "response")
+	s.log(d, source)
 	if err := s.config.Publish(d.Entry(now)); err != nil {
 		s.config.Log.Warn("cannot publish that a target leaves", zap.String("target", d.Target()), recorder.Err(err))
 	}
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -45,9 +45,11 @@
 
 // publishAnnouncement publishes the announcement to all routers.
 func (r *Router) publishAnnouncement(a selector.Announcement) error {
-	entry, err := a.Entry(time.Now())
+	now := time.Now()
+	entry, err := a.Entry(now)
 	if err != nil {
 		return err
 	}
+	r.departures.ObserveAnnouncement(a, now)
 	return r.disseminator.Put(entry)
 }
