registrar: the replay of departures covers announcements that a target leaves

Change: each state of knowledge is played with a deregistration that states its start, one that does not, and an announcement.

--- a/internal/registrar/fleet_test.go
+++ b/internal/registrar/fleet_test.go
@@ -226,8 +226,8 @@
 	return &target{fleet: f, name: name, address: address, born: uint64(f.now.UnixMilli())}
 }
 
-// heartbeat sends a heartbeat, which arrives at the control VM after the delay.
-func (g *target) heartbeat(at *process, state selector.State, delay time.Duration) {
+// announcement returns the next announcement of the target.
+func (g *target) announcement(state selector.State) selector.Announcement {
 	g.sequence++
 	a, err := selector.NewAnnouncement(selector.AnnouncementConfig{
 		Name: g.name, Address: g.address, Incarnation: g.born, Sequence: g.sequence, Services: []string{"s"}, Capacity: 8, State: state,
@@ -235,9 +235,13 @@
 	if err != nil {
 		g.fleet.t.Fatal(err)
 	}
-	if state == (selector.Leaving{}) {
-		a = a.Departure()
-	}
+	return a
+}
+
+// heartbeat sends a heartbeat of a target that serves, which arrives at the control VM after the
+// delay.
+func (g *target) heartbeat(at *process, delay time.Duration) {
+	a := g.announcement(selector.Serving{})
 	g.fleet.messages = append(g.fleet.messages, message{g.fleet.now.Add(delay), func() {
 		_ = at.registrar.Announce(context.Background(), a, g.fleet.now) // the target sends the next one all the same
 	}})
@@ -246,7 +250,12 @@
 	}
 }
 
-// deregister returns whether the deregistration was acknowledged.
+// drain announces that the target leaves. It returns nil if that was acknowledged.
+func (g *target) drain(at *process) error {
+	return at.registrar.Announce(context.Background(), g.announcement(selector.Leaving{}).Departure(), g.fleet.now)
+}
+
+// deregister returns nil if the deregistration was acknowledged.
 func (g *target) deregister(at *process, statesBorn bool) error {
 	const clockDifference = 10_000 // milliseconds
 	d := registrar.Deregistration{Target: g.name, StartedBefore: uint64(g.fleet.now.UnixMilli() - clockDifference)}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -41,7 +41,7 @@
 			f.cutOff(f.controls[0])
 			f.run(20 * time.Second)
 			g.born, g.sequence = uint64(f.now.Add(-15*time.Second).UnixMilli()), 0
-			g.heartbeat(f.controls[1], selector.Serving{}, 0)
+			g.heartbeat(f.controls[1], 0)
 			f.run(5 * time.Second)
 			f.heal()
 		}, 0, 1, nil},
@@ -60,25 +60,33 @@
 			f.heal()
 		}},
 	}
+	ways := []struct {
+		name  string
+		leave func(g *target, at *process) error
+	}{
+		{"deregisters and states its start", func(g *target, at *process) error { return g.deregister(at, true) }},
+		{"deregisters", func(g *target, at *process) error { return g.deregister(at, false) }},
+		{"announces it", (*target).drain},
+	}
 	for _, tc := range cases {
-		for _, statesBorn := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, states its start: %t", tc.name, statesBorn), func(t *testing.T) {
+		for _, way := range ways {
+			t.Run(tc.name+", "+way.name, func(t *testing.T) {
 				f := newFleet(t, 3, 2)
 				g := f.start("t", "10.0.0.1:80")
 				f.run(15 * time.Second)
-				g.heartbeat(f.controls[2], selector.Serving{}, 0)
+				g.heartbeat(f.controls[2], 0)
 				f.run(propagation)
 				if len(g.usableAnywhere()) != len(f.routers) {
 					t.Fatal("the target is not usable to begin with")
 				}
 				tc.before(f, g)
-				if err := g.deregister(f.controls[tc.asked], statesBorn); err != nil {
+				if err := way.leave(g, f.controls[tc.asked]); err != nil {
 					t.Fatal(err)
 				}
 				if tc.between != nil {
 					tc.between(f)
 				}
-				g.heartbeat(f.controls[tc.late], selector.Serving{}, 500*time.Millisecond)
+				g.heartbeat(f.controls[tc.late], 500*time.Millisecond)
 				f.run(500*time.Millisecond + propagation)
 				for range 200 {
 					f.step()
@@ -87,7 +95,7 @@
 					}
 				}
 				next := f.start("t", g.address)
-				next.heartbeat(f.controls[tc.late], selector.Serving{}, 0)
+				next.heartbeat(f.controls[tc.late], 0)
 				f.run(propagation)
 				if len(next.usableAnywhere()) != len(f.routers) {
 					t.Errorf("the next run is usable only at %v", next.usableAnywhere())
@@ -101,7 +109,7 @@
 func TestIsolatedVMAcknowledgesNoDeparture(t *testing.T) {
 	f := newFleet(t, 3, 2)
 	g := f.start("t", "10.0.0.1:80")
-	g.heartbeat(f.controls[0], selector.Serving{}, 0)
+	g.heartbeat(f.controls[0], 0)
 	f.run(propagation)
 	f.cutOff(f.controls[0])
 	if err := g.deregister(f.controls[0], true); !errors.Is(err, errIsolated) {
@@ -121,7 +129,7 @@
 	f := newFleet(t, 2, 1)
 	known := f.start("known", "10.0.0.1:80")
 	f.run(15 * time.Second)
-	known.heartbeat(f.controls[0], selector.Serving{}, 0)
+	known.heartbeat(f.controls[0], 0)
 	f.run(propagation)
 	const strangers = 5000
 	refused := 0
@@ -157,7 +165,7 @@
 				g := f.start("t", "10.0.0.1:80")
 				f.run(15 * time.Second)
 				if known {
-					g.heartbeat(f.controls[0], selector.Serving{}, 0)
+					g.heartbeat(f.controls[0], 0)
 					f.run(propagation)
 				}
 				if err := g.deregister(f.controls[0], statesBorn); err != nil {
@@ -169,7 +177,7 @@
 				if known && !statesBorn && next.born <= g.born {
 					t.Fatal("the case is not what it says")
 				}
-				next.heartbeat(f.controls[1], selector.Serving{}, 0)
+				next.heartbeat(f.controls[1], 0)
 				f.run(propagation)
 				if len(next.usableAnywhere()) != 1 {
 					t.Error("the next run is not usable")
@@ -197,7 +205,7 @@
 			if random.IntN(3) == 0 {
 				delay = time.Duration(random.IntN(8000)) * time.Millisecond
 			}
-			g.heartbeat(f.controls[random.IntN(3)], selector.Serving{}, delay)
+			g.heartbeat(f.controls[random.IntN(3)], delay)
 			switch random.IntN(6) {
 			case 0:
 				f.cutOff(f.all()[random.IntN(6)])
@@ -230,7 +238,7 @@
 		}
 	}
 	next := f.start("t", g.address)
-	next.heartbeat(f.controls[random.IntN(3)], selector.Serving{}, 0)
+	next.heartbeat(f.controls[random.IntN(3)], 0)
 	f.run(propagation)
 	if routers := next.usableAnywhere(); len(routers) != len(f.routers) {
 		t.Fatalf("the next run is usable only at %v", slices.Compact(routers))
@@ -246,7 +254,7 @@
 		t.Fatal(err)
 	}
 	f.run(propagation)
-	g.heartbeat(f.controls[1], selector.Serving{}, 0)
+	g.heartbeat(f.controls[1], 0)
 	e, ok := f.controls[1].disseminator.Lookup(selector.TargetKey("t"))
 	if !ok {
 		return // not distributed at all
