replicator: a VM is admitted though a former process of it has a higher incarnation

A VM that lost its disk was refused for good ('has been replaced by') if its former process had started while its clock was ahead: incarnations come from the clock. Change: only a former process that responds is a reason to refuse. A call of an earlier process that comes late could remove a later one that is silent; that one joins again and removes the earlier. Test: TestSuccessorOfSilentProcessIsAdmitted; before: refused.

--- a/pkg/coordination/replicator/membership.go
+++ b/pkg/coordination/replicator/membership.go
@@ -11,7 +11,8 @@
 // Admit proposes the next membership change needed to add the joiner as a
 // learner. The caller repeats the call until the joiner is a member. An
 // earlier incarnation of the joiner's VM is removed first: its disk is lost,
-// so that it can neither vote nor confirm the entries that it acknowledged.
+// so that it can neither vote nor confirm the entries that it acknowledged. One with a
+// higher number that does not respond is an earlier one, too: the VM's clock was ahead then.
 func (r *Replica) Admit(joiner identifier.Process) error {
 	if r.role != Leader {
 		return ErrNotLeader
@@ -24,7 +25,7 @@
 		if member.VM() != joiner.VM() {
 			continue
 		}
-		if member.Incarnation() > joiner.Incarnation() {
+		if member.Incarnation() > joiner.Incarnation() && (member == r.config.Self || r.responds(member)) {
 			return errors.Errorf("%s has been replaced by %s", joiner, member)
 		}
 		return r.ChangeMembership(NewMembership(withoutMember(m.voters, member), withoutMember(m.learners, member)))
--- a/pkg/coordination/replicator/membership_test.go
+++ b/pkg/coordination/replicator/membership_test.go
@@ -105,3 +105,48 @@
 		t.Fatalf("%v, want a request to %s to campaign", messages, memberB)
 	}
 }
+
+// Guards against a VM that is refused for good, since a former process of it that is gone has a higher
+// incarnation: it had started while the VM's clock was ahead.
+func TestSuccessorOfSilentProcessIsAdmitted(t *testing.T) {
+	ahead, successor := identifier.NewProcess("d", 9), identifier.NewProcess("d", 5)
+	cases := []struct {
+		name     string
+		responds bool
+		admitted bool
+	}{
+		{"the former process is gone", false, true},
+		{"the former process responds", true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newMember(t, 1)
+			elect(t, r)
+			acknowledge := func(from identifier.Process) {
+				persist(r)
+				r.Step(AppendResponse{header: header{from, memberA, r.Term()}, success: true, index: r.lastIndex()})
+			}
+			acknowledge(memberB)
+			if err := r.Admit(ahead); err != nil {
+				t.Fatal(err)
+			}
+			acknowledge(memberB)
+			for range r.config.ElectionTicks {
+				r.Tick()
+				acknowledge(memberB)
+				if c.responds {
+					acknowledge(ahead)
+				}
+			}
+			for range 2 { // the removal of the former process, and the admission
+				if err := r.Admit(successor); (err == nil) != c.admitted {
+					t.Fatalf("error %v, admitted: want %t", err, c.admitted)
+				}
+				acknowledge(memberB)
+			}
+			if got := r.Membership().Has(successor); got != c.admitted || r.Membership().Has(ahead) == c.admitted {
+				t.Errorf("members %v, want the successor among them: %t", r.Membership(), c.admitted)
+			}
+		})
+	}
+}
