--- a/pkg/coordination/replicator/membership_test.go
+++ b/pkg/coordination/replicator/membership_test.go
@@ -150,3 +150,39 @@
 		})
 	}
 }
+
+// Guards against a learner that has caught up, has died since, and takes the place of a voter: in a log
+// without proposals it stays caught up.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	policy := MembershipPolicy{MaxVoters: 5, VoterTimeoutTicks: 50, LearnerTimeoutTicks: 100}
+	learner := identifier.NewProcess("d", 1)
+	for _, responds := range []bool{true, false} {
+		r := newMember(t, 1)
+		elect(t, r)
+		acknowledge := func(members ...identifier.Process) {
+			persist(r)
+			for _, from := range members {
+				r.Step(AppendResponse{header: header{from, memberA, r.Term()}, success: true, index: r.lastIndex()})
+			}
+		}
+		acknowledge(memberB, memberC)
+		if err := r.Admit(learner); err != nil {
+			t.Fatal(err)
+		}
+		acknowledge(memberB, memberC, learner)
+		for range r.config.ElectionTicks {
+			r.Tick()
+			acknowledge(memberB, memberC)
+			if responds {
+				acknowledge(learner)
+			}
+		}
+		want := Adjustment(Unchanged{})
+		if responds {
+			want = LearnerPromoted{learner}
+		}
+		if got, err := r.AdjustMembership(policy); err != nil || got != want {
+			t.Errorf("the learner responds: %t: %T, %v; want %T", responds, got, err, want)
+		}
+	}
+}
