--- /dev/null
+++ b/review/standins-3/platform/replica.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// tokensPerEvent is the number of output tokens in an event of a stream.
+	tokensPerEvent = 6
+	// eventInterval is the time between two events of a stream, and eventBytes about the size of
+	// an event.
+	eventInterval = 20 * time.Millisecond
+	eventBytes    = 4000
+	shopWork      = 60 * time.Millisecond
+	orderBytes    = 800
+)
+
+// replica is a stand-in for a replica of a service. It behaves as the pages say that a sound one
+// does.
+type replica struct {
+	*record
+	fleet         *fleet
+	id, service   string
+	address       string
+	capacity      int
+	responseBytes int // of the answers to look-ups
+	bornMillis    int64
+	server        *http.Server
+	work          time.Duration // of an answer of the shop
+	stopped       chan struct{}
+	mutex         sync.Mutex
+	attempts      map[string]bool // that have run
+}
+
+// startReplica starts a replica, which announces itself to the core.
+func (f *fleet) startReplica(service string, capacity, responseBytes int) *replica {
+	i := len(f.replicas)
+	r := &replica{
+		record: f.record, fleet: f, id: fmt.Sprintf("i-%s-%d", service, i), service: service, capacity: capacity, responseBytes: responseBytes,
+		address: f.address(f.network.ip(firstReplica+i), f.ports.replica), bornMillis: time.Now().UnixMilli(), stopped: make(chan struct{}),
+		attempts: map[string]bool{}, work: shopWork,
+	}
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		fail("%v", err)
+	}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go func() { _ = r.server.Serve(listener) }() // ends with stop
+	go r.announce()
+	f.replicas = append(f.replicas, r)
+	return r
+}
+
+func (r *replica) stop() {
+	close(r.stopped)
+	_ = r.server.Close() // the case is over
+}
+
+// hasRun reports whether a replica has begun to run the client attempt.
+func (f *fleet) hasRun(attempt string) bool {
+	for _, r := range f.replicas {
+		r.mutex.Lock()
+		ran := r.attempts[attempt]
+		r.mutex.Unlock()
+		if ran {
+			return true
+		}
+	}
+	return false
+}
+
+// announce sends heartbeats until the replica stops.
+func (r *replica) announce() {
+	for sequence := 0; ; sequence++ {
+		body, err := json.Marshal(map[string]any{
+			"service": r.service, "address": r.address, "zone": zones[0], "version": "v1", "capacity": r.capacity, "state": "ready",
+			"warmup_remaining_ms": 0, "phase": "unified", "seq": sequence, "born": r.bornMillis,
+		})
+		if err == nil {
+			r.fleet.call(http.MethodPost, "/Instances.Heartbeat/"+r.id, body, heartbeatInterval)
+		}
+		select {
+		case <-time.After(heartbeatInterval):
+		case <-r.stopped:
+			return
+		}
+	}
+}
+
+func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/healthz" {
+		w.Header().Set("X-Instance-Id", r.id)
+		return
+	}
+	attempt := request.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", attempt)
+	if target := request.Header.Get("X-Target-Instance"); target != "" && target != r.id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mutex.Lock()
+	r.attempts[attempt] = true
+	r.mutex.Unlock()
+	r.note("replica: %s runs %s", r.id, attempt)
+	w.Header().Set("X-Response-Signature", "3e1b.07.5a2."+attempt)
+	if r.service == "engine" {
+		r.stream(w, request)
+	} else {
+		r.answer(w, request.URL.Path)
+	}
+	r.note("replica: %s has ended %s", r.id, attempt)
+}
+
+// answer answers a request for the shop. Answers to look-ups have the size of the replica.
+func (r *replica) answer(w http.ResponseWriter, path string) {
+	time.Sleep(r.work)
+	size := orderBytes
+	if strings.HasPrefix(path, "/look/") {
+		size = r.responseBytes
+	}
+	w.Header().Set("Content-Type", "application/json")
+	body := `{"order":"` + strings.Repeat("x", size-12) + `"}`
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write([]byte(body)) // fails only if the gateway has disconnected
+}
+
+// stream answers a request for the model with the most tokens that it allows.
+func (r *replica) stream(w http.ResponseWriter, request *http.Request) {
+	_, output := parseUsage(request.Header.Get("X-Token-Usage"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Weight-Versions", "1")
+	text := strings.Repeat("t", eventBytes-30)
+	controller := http.NewResponseController(w)
+	for event := int64(1); event*tokensPerEvent <= output; event++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: {\"text\":%q}\n\n", event, text); err != nil {
+			return
+		}
+		if err := controller.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-time.After(eventInterval):
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+// parseUsage parses the prompt tokens and the most output tokens of a request.
+func parseUsage(value string) (prompt, output int64) {
+	first, second, _ := strings.Cut(value, ",")
+	prompt, _ = strconv.ParseInt(first, 10, 64)  // zero if malformed
+	output, _ = strconv.ParseInt(second, 10, 64) // as above
+	return prompt, output
+}
