--- a/review/standins-3/platform/endless_heads.go
+++ b/review/standins-3/platform/endless_heads.go
@@ -14,8 +14,9 @@
 	endlessClients  = 1150
 	endlessInterval = time.Second
 	endlessTime     = 14 * time.Second
-	// ordinaryClients try one new connection after the other.
+	// ordinaryClients try one new connection after the other, from ordinaryBegin on.
 	ordinaryClients  = 10
+	ordinaryBegin    = time.Second
 	ordinaryInterval = 100 * time.Millisecond
 	// minTrying is how many clients try at least, by the rule.
 	minTrying = 7
@@ -58,15 +59,15 @@
 	w := &watcher{run: r, machine: f.edges[0], current: span{trying: map[int]bool{}}}
 	var running sync.WaitGroup
 	done := make(chan struct{})
-	for i := range ordinaryClients {
-		running.Go(func() { w.try(i, done) })
-	}
 	running.Go(func() { w.watchReadiness(done) })
-	time.Sleep(2 * time.Second)
 	begun := time.Now()
 	if r.trouble {
 		running.Go(func() { sendEndlessHeads(r, f.frontend(w.machine)) })
 	}
+	sleepUntil(begun.Add(ordinaryBegin))
+	for i := range ordinaryClients {
+		running.Go(func() { w.try(i, done) })
+	}
 	sleepUntil(begun.Add(headerTimeout + 500*time.Millisecond))
 	w.count()
 	sleepUntil(begun.Add(endlessTime))
--- a/review/standins-3/platform/replica.go
+++ b/review/standins-3/platform/replica.go
@@ -14,10 +14,10 @@
 const (
 	// tokensPerEvent is the number of output tokens in an event of a stream.
 	tokensPerEvent = 6
-	// eventInterval is the time between two events of a stream, and eventBytes about the size of
+	// usualInterval is the time between two events of a stream, and eventBytes about the size of
 	// an event.
-	eventInterval = 20 * time.Millisecond
-	eventBytes    = 4000
+	usualInterval = 20 * time.Millisecond
+	eventBytes    = 100
 	shopWork      = 60 * time.Millisecond
 	orderBytes    = 800
 )
@@ -34,6 +34,7 @@
 	bornMillis    int64
 	server        *http.Server
 	work          time.Duration // of an answer of the shop
+	eventInterval time.Duration // of streams
 	stopped       chan struct{}
 	mutex         sync.Mutex
 	attempts      map[string]bool // that have run
@@ -45,7 +46,7 @@
 	r := &replica{
 		record: f.record, fleet: f, id: fmt.Sprintf("i-%s-%d", service, i), service: service, capacity: capacity, responseBytes: responseBytes,
 		address: f.address(f.network.ip(firstReplica+i), f.ports.replica), bornMillis: time.Now().UnixMilli(), stopped: make(chan struct{}),
-		attempts: map[string]bool{}, work: shopWork,
+		attempts: map[string]bool{}, work: shopWork, eventInterval: usualInterval,
 	}
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
@@ -147,7 +148,7 @@
 			return
 		}
 		select {
-		case <-time.After(eventInterval):
+		case <-time.After(r.eventInterval):
 		case <-request.Context().Done():
 			return
 		}
