Review case 11: heads without end of targets use up the memory of a router

Cause: the exchanger limits the head of a response to 64 KiB of bytes, but 10,000 short fields take more than 1 MB once they are parsed, and are held until the deadline of the request. The memory budget counts nothing of what targets send.

The clients with orders do not run in step any more. Nothing is fixed.

--- a/review/standins-3/platform/main.go
+++ b/review/standins-3/platform/main.go
@@ -21,6 +21,7 @@
 
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*run) bool{
+	"long-heads":    runLongHeads,
 	"slow-readers":  runSlowReaders,
 	"endless-heads": runEndlessHeads,
 	"half-close":    runHalfClose,
--- a/review/standins-3/platform/replica.go
+++ b/review/standins-3/platform/replica.go
@@ -32,7 +32,8 @@
 	capacity      int
 	responseBytes int // of the answers to look-ups
 	bornMillis    int64
-	server        *http.Server
+	listener      net.Listener
+	server        *http.Server  // nil if it sends no answers
 	work          time.Duration // of an answer of the shop
 	eventInterval time.Duration // of streams
 	stopped       chan struct{}
@@ -40,28 +41,38 @@
 	attempts      map[string]bool // that have run
 }
 
-// startReplica starts a replica, which announces itself to the core.
-func (f *fleet) startReplica(service string, capacity, responseBytes int) *replica {
+// newReplica returns a replica that has not started.
+func (f *fleet) newReplica(service string, capacity, responseBytes int) *replica {
 	i := len(f.replicas)
 	r := &replica{
 		record: f.record, fleet: f, id: fmt.Sprintf("i-%s-%d", service, i), service: service, capacity: capacity, responseBytes: responseBytes,
 		address: f.address(f.network.ip(firstReplica+i), f.ports.replica), bornMillis: time.Now().UnixMilli(), stopped: make(chan struct{}),
 		attempts: map[string]bool{}, work: shopWork, eventInterval: usualInterval,
 	}
+	f.replicas = append(f.replicas, r)
+	return r
+}
+
+// startReplica starts a replica, which announces itself to the core.
+func (f *fleet) startReplica(service string, capacity, responseBytes int) *replica {
+	r := f.newReplica(service, capacity, responseBytes)
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		fail("%v", err)
 	}
+	r.listener = listener
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.server.Serve(listener) }() // ends with stop
 	go r.announce()
-	f.replicas = append(f.replicas, r)
 	return r
 }
 
 func (r *replica) stop() {
 	close(r.stopped)
-	_ = r.server.Close() // the case is over
+	_ = r.listener.Close() // the case is over
+	if r.server != nil {
+		_ = r.server.Close() // as above
+	}
 }
 
 // hasRun reports whether a replica has begun to run the client attempt.
--- a/review/standins-3/platform/slow_readers.go
+++ b/review/standins-3/platform/slow_readers.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,8 @@
 	// orderClientCount clients send one order after the other, each on its own connection. By the
 	// rule, maxLost orders may end without an answer.
 	orderClientCount = 20
-	orderPause       = 50 * time.Millisecond
+	orderPause       = 50 * time.Millisecond // on average
+	orderStagger     = 17 * time.Millisecond // between the starts of two clients
 	maxLost          = 3
 )
 
@@ -153,6 +155,7 @@
 	o.done = make(chan struct{})
 	for range orderClientCount {
 		o.running.Go(o.send)
+		time.Sleep(orderStagger)
 	}
 }
 
@@ -203,7 +206,7 @@
 		select {
 		case <-o.done:
 			return
-		case <-time.After(orderPause):
+		case <-time.After(rand.N(2 * orderPause)):
 		}
 	}
 }
