Review: a case that an earlier one shows makes room for case 15

Heads without end from replicas (case 12 until now) are shown by review/7 already. It is dropped, and the case of heads without end of clients is a case again, as 15.

--- a/review/standins-3/platform/main.go
+++ b/review/standins-3/platform/main.go
@@ -21,10 +21,10 @@
 
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*run) bool{
-	"long-heads":   runLongHeads,
-	"reset-upload": runResetUpload,
-	"slow-readers": runSlowReaders,
-	"half-close":   runHalfClose,
+	"endless-heads": runEndlessHeads,
+	"reset-upload":  runResetUpload,
+	"slow-readers":  runSlowReaders,
+	"half-close":    runHalfClose,
 }
 
 // run is one run of a case.
--- a/review/standins-3/platform/replica.go
+++ b/review/standins-3/platform/replica.go
@@ -14,12 +14,8 @@
 const (
 	// tokensPerEvent is the number of output tokens in an event of a stream.
 	tokensPerEvent = 6
-	// usualInterval is the time between two events of a stream, and eventBytes about the size of
-	// an event.
-	usualInterval = 20 * time.Millisecond
-	eventBytes    = 100
-	shopWork      = 60 * time.Millisecond
-	orderBytes    = 800
+	shopWork       = 60 * time.Millisecond
+	orderBytes     = 800
 )
 
 // replica is a stand-in for a replica of a service. It behaves as the pages say that a sound one
@@ -35,7 +31,6 @@
 	listener      net.Listener
 	server        *http.Server  // nil if it sends no answers
 	work          time.Duration // of an answer of the shop
-	eventInterval time.Duration // of streams
 	stopped       chan struct{}
 	mutex         sync.Mutex
 	attempts      map[string]bool // that have run
@@ -47,7 +42,7 @@
 	r := &replica{
 		record: f.record, fleet: f, id: fmt.Sprintf("i-%s-%d", service, i), service: service, capacity: capacity, responseBytes: responseBytes,
 		address: f.address(f.network.ip(firstReplica+i), f.ports.replica), bornMillis: time.Now().UnixMilli(), stopped: make(chan struct{}),
-		attempts: map[string]bool{}, work: shopWork, eventInterval: usualInterval,
+		attempts: map[string]bool{}, work: shopWork,
 	}
 	f.replicas = append(f.replicas, r)
 	return r
@@ -123,11 +118,7 @@
 	r.mutex.Unlock()
 	r.note("replica: %s runs %s", r.id, attempt)
 	w.Header().Set("X-Response-Signature", "3e1b.07.5a2."+attempt)
-	if r.service == "engine" {
-		r.stream(w, request)
-	} else {
-		r.answer(w, request.URL.Path)
-	}
+	r.answer(w, request.URL.Path)
 	r.note("replica: %s has ended %s", r.id, attempt)
 }
 
@@ -143,33 +134,3 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write([]byte(body)) // fails only if the gateway has disconnected
 }
-
-// stream answers a request for the model with the most tokens that it allows.
-func (r *replica) stream(w http.ResponseWriter, request *http.Request) {
-	_, output := parseUsage(request.Header.Get("X-Token-Usage"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Weight-Versions", "1")
-	text := strings.Repeat("t", eventBytes-30)
-	controller := http.NewResponseController(w)
-	for event := int64(1); event*tokensPerEvent <= output; event++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: {\"text\":%q}\n\n", event, text); err != nil {
-			return
-		}
-		if err := controller.Flush(); err != nil {
-			return
-		}
-		select {
-		case <-time.After(r.eventInterval):
-		case <-request.Context().Done():
-			return
-		}
-	}
-}
-
-// parseUsage parses the prompt tokens and the most output tokens of a request.
-func parseUsage(value string) (prompt, output int64) {
-	first, second, _ := strings.Cut(value, ",")
-	prompt, _ = strconv.ParseInt(first, 10, 64)  // zero if malformed
-	output, _ = strconv.ParseInt(second, 10, 64) // as above
-	return prompt, output
-}
