--- a/review/standins-3/platform/main.go
+++ b/review/standins-3/platform/main.go
@@ -21,10 +21,11 @@
 
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*run) bool{
-	"endless-heads": runEndlessHeads,
-	"reset-upload":  runResetUpload,
-	"slow-readers":  runSlowReaders,
-	"half-close":    runHalfClose,
+	"endless-heads":   runEndlessHeads,
+	"relayed-uploads": runRelayedUploads,
+	"reset-upload":    runResetUpload,
+	"slow-readers":    runSlowReaders,
+	"half-close":      runHalfClose,
 }
 
 // run is one run of a case.
--- a/review/standins-3/platform/reset_upload.go
+++ b/review/standins-3/platform/reset_upload.go
@@ -124,17 +124,7 @@
 // connection part of the way.
 func (f *fleet) startResettingReplica(trouble bool) {
 	r := f.newReplica("shop", 64, orderBytes)
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failure error
-		err := c.Control(func(fd uintptr) {
-			failure = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, networkMSS),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, uploadWindow),
-			)
-		})
-		return errors.Join(err, failure)
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", r.address)
+	listener, err := narrowListener(r.address)
 	if err != nil {
 		fail("%v", err)
 	}
@@ -175,3 +165,18 @@
 	}
 	r.note("replica: %s resets the connection of %s, in the middle of its answer", r.id, attempt)
 }
+
+// narrowListener listens at an address with the segments and the window of an ordinary network.
+func narrowListener(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			failure = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, networkMSS),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, uploadWindow),
+			)
+		})
+		return errors.Join(err, failure)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
