linker: say how each carried connection ended, on both sides

Cause: not decided by this commit; logs could not tell the hypotheses apart, since no line said how a tunnel ended. Change: one log line at each end of a tunnel, with what was read, written and left unwritten and what ended each direction. No decision changes.

--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -68,6 +69,7 @@
 	}
 	c := &carrier{socket: socket, destination: destination}
 	c.carry(t.endpoint.ctx)
+	c.logEnd(t.endpoint.config.Log)
 }
 
 // open reads the request for a tunnel, opens the connection to its destination, and replies.
@@ -93,6 +95,29 @@
 type carrier struct {
 	socket      *websocket.Conn
 	destination net.Conn
+
+	// Written by runRequests: the bytes taken from the peer and written to the destination, and
+	// what ended it.
+	taken, written int64
+	requestErr     error
+	// Written by runResponses.
+	responseBytes int64
+	responseErr   error
+}
+
+// logEnd logs how both directions ended. Both must have.
+func (c *carrier) logEnd(log *zap.Logger) {
+	log.Info("tunnel of a peer ended",
+		zap.Stringer("destination", c.destination.RemoteAddr()), zap.Int64("taken", c.taken), zap.Int64("written", c.written),
+		zap.Int64("responseBytes", c.responseBytes), endField("requestEnd", c.requestErr), endField("responseEnd", c.responseErr))
+}
+
+// endField returns a log field that says what ended one direction of a connection.
+func endField(key string, err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String(key, err.Error())
 }
 
 // carry returns when the tunnel has ended. If one end breaks, so does the other.
@@ -115,9 +140,14 @@
 	for {
 		_, data, err := c.socket.Read(ctx)
 		if err != nil {
+			c.requestErr = errors.Wrap(err, "read from the peer")
 			return
 		}
-		if _, err := c.destination.Write(data); err != nil {
+		c.taken += int64(len(data))
+		n, err := c.destination.Write(data)
+		c.written += int64(n)
+		if err != nil {
+			c.requestErr = errors.Wrap(err, "write to the destination")
 			return
 		}
 	}
@@ -131,9 +161,12 @@
 		n, err := c.destination.Read(buffer)
 		if n > 0 {
 			if writeErr := c.socket.Write(ctx, websocket.MessageBinary, buffer[:n]); writeErr != nil {
+				c.responseErr = errors.Wrap(writeErr, "write to the peer")
 				return
 			}
+			c.responseBytes += int64(n)
 		}
+		c.responseErr = err
 		switch {
 		case errors.Is(err, io.EOF):
 			_ = c.socket.Close(websocket.StatusNormalClosure, "") // fails only if the peer has left
@@ -160,7 +193,7 @@
 		_ = socket.CloseNow() // the tunnel is of no use
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
 	}
-	return &tunnel{Conn: websocket.NetConn(e.ctx, socket, websocket.MessageBinary), socket: socket}, reply, nil
+	return &tunnel{Conn: websocket.NetConn(e.ctx, socket, websocket.MessageBinary), socket: socket, log: e.config.Log.With(zap.String("relay", address))}, reply, nil
 }
 
 func requestTunnel(ctx context.Context, socket *websocket.Conn, request []byte) ([]byte, error) {
@@ -175,6 +208,11 @@
 type tunnel struct {
 	net.Conn
 	socket *websocket.Conn
+	log    *zap.Logger
+
+	sent, received    atomic.Int64
+	readErr, writeErr atomic.Pointer[error]
+	closing           sync.Once
 }
 
 // Read reads what the destination has sent. It returns io.EOF only if the destination ended its
@@ -182,11 +220,45 @@
 // process between has: the WebSocket library wraps io.EOF in its errors then.
 func (t *tunnel) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
+	t.received.Add(int64(n))
+	if err != nil {
+		t.readErr.CompareAndSwap(nil, &err)
+	}
 	if err == nil || err == io.EOF { //nolint:errorlint // an error that wraps io.EOF is no orderly end
 		return n, err
 	}
 	return n, errors.Wrap(ErrTunnelBroken, err.Error())
 }
 
+// Write sends bytes to the peer.
+func (t *tunnel) Write(p []byte) (int, error) {
+	n, err := t.Conn.Write(p)
+	t.sent.Add(int64(n))
+	if err != nil {
+		t.writeErr.CompareAndSwap(nil, &err)
+	}
+	return n, err
+}
+
 // Close ends the tunnel at once, without waiting for the peer.
-func (t *tunnel) Close() error { return t.socket.CloseNow() }
+func (t *tunnel) Close() error {
+	t.closing.Do(t.logEnd)
+	return t.socket.CloseNow()
+}
+
+// logEnd logs what was seen of the tunnel until this end closes it, if it was used.
+func (t *tunnel) logEnd() {
+	if t.sent.Load() == 0 {
+		return
+	}
+	t.log.Info("tunnel to a relay closed", zap.Int64("sent", t.sent.Load()), zap.Int64("received", t.received.Load()),
+		endField("readEnd", valueOf(&t.readErr)), endField("writeEnd", valueOf(&t.writeErr)))
+}
+
+// valueOf returns the error that is stored, or nil.
+func valueOf(p *atomic.Pointer[error]) error {
+	if err := p.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
