linker: a request is delivered once its target has acknowledged it, not once a relay has it

Cause: two facts that nobody had confirmed. A request counted as written once the relay had its message in memory, and the end of the tunnel was that of the relay's reader, though the kernel reports a reset once, here to the relay's writer.

Change: tunnels have a subprotocol in which the relay says how many bytes the target's connection has taken, with the bytes of the response or for each half of the window. The router that asked sends at most 32 KB beyond that, so a relay holds no more, and reads on while its write is blocked: when the other router leaves, what the target has not acknowledged is discarded. The relay reports the end only if nothing that it took is unwritten, and the kernel says that the target has acknowledged all of it and has not reset the connection; the router that asked compares the count with what it sent, which covers bytes between the two. Direct connections ask the kernel likewise. No time is a proof any more: the end of a response waits for the rest of the request until the deadline of the request. A short request costs no further message, and a response that ends with its connection one.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -22,14 +22,12 @@
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/bytecounter"
+	"radishshed.example/radishshed/pkg/transport/inspector"
 )
 
 const (
 	readBufferBytes = 4 << 10
 	headBufferBytes = 1 << 10
-	// writeResultTimeout is how long the end of a response without a length waits for the
-	// result of writing the request.
-	writeResultTimeout = 100 * time.Millisecond
 	// maxCopiedBytes limits the bodies that are copied behind the head of their request.
 	maxCopiedBytes = 8 << 10
 	// maxIdleTime is well below the idle timeouts of targets. An idle connection must
@@ -88,6 +86,8 @@
 	mayReuse  func() bool
 	address   string
 	idleSince time.Time
+	// awaitAcknowledged waits until the target has acknowledged all bytes written.
+	awaitAcknowledged func() error
 }
 
 // Exchanger sends requests to targets and pools idle connections. It is safe for
@@ -124,6 +124,14 @@
 	Reusable() bool
 }
 
+// acknowledged is implemented by connections that know what the target has got.
+type acknowledged interface {
+	// AwaitAcknowledged waits, once Read has returned io.EOF, until the target has acknowledged
+	// all bytes written. It returns an error if it will not, if that cannot be known, or if the
+	// connection is closed meanwhile.
+	AwaitAcknowledged() error
+}
+
 // New returns an exchanger with an empty connection pool.
 func New(c Config) *Exchanger {
 	if c.ConnectionOpened == nil {
@@ -174,7 +182,7 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if errors.Is(err, io.EOF) && !r.bodyComplete {
-		if !r.Framed() && !r.awaitWritten() {
+		if !r.Framed() && !r.awaitDelivered() {
 			return n, io.ErrUnexpectedEOF
 		}
 		r.bodyComplete = true
@@ -182,16 +190,12 @@
 	return n, err
 }
 
-// awaitWritten reports whether the request was written. The kernel reports the reset of a
-// connection once: if that was to the writer of the request, the body seems to end in an orderly
-// way.
-func (r *Response) awaitWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	case <-time.After(writeResultTimeout):
-		return false
-	}
+// awaitDelivered reports whether the target has got the whole request. If it has not, the end of
+// the body may be that of a connection that was reset: the kernel reports a reset once, and if that
+// was to the writer of the request, the body seems to end in an orderly way. It waits as long as
+// the target may still get the rest, at most until the context of the request ends.
+func (r *Response) awaitDelivered() bool {
+	return <-r.written == nil && r.connection.awaitAcknowledged() == nil
 }
 
 // Close releases the response. The connection returns to the pool if it can be reused,
@@ -336,9 +340,16 @@
 	if r, ok := socket.(reusable); ok {
 		mayReuse = r.Reusable
 	}
-	socket = e.byteCounter.WrapConnection(socket)
-	limiter := &headLimiter{source: socket}
-	return &connection{Conn: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), mayReuse: mayReuse, address: r.Address}, nil
+	awaitAcknowledged := func() error { return inspector.AwaitAcknowledged(socket) }
+	if a, ok := socket.(acknowledged); ok {
+		awaitAcknowledged = a.AwaitAcknowledged
+	}
+	counted := e.byteCounter.WrapConnection(socket)
+	limiter := &headLimiter{source: counted}
+	return &connection{
+		Conn: counted, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		mayReuse: mayReuse, address: r.Address, awaitAcknowledged: awaitAcknowledged,
+	}, nil
 }
 
 // takeIdle removes an idle connection from the pool and returns it, or nil.
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// relayedConnectionBytes is the memory that a connection for another router takes, and
-	// relayMemoryShare the share of the memory of the VM that is set aside for these.
-	relayedConnectionBytes = 64 << 10
+	// relayedConnectionBytes is the most memory that a connection for another router takes (the
+	// window of its tunnel, and a message each way with its encoding), and relayMemoryShare the
+	// share of the memory of the VM that is set aside for these.
+	relayedConnectionBytes = 96 << 10
 	relayMemoryShare       = 0.25
 	// defaultMaxRelayed applies where the memory of the VM is not known.
 	defaultMaxRelayed = 512
--- a/internal/relayer/connection.go
+++ b/internal/relayer/connection.go
@@ -4,13 +4,28 @@
 	"net"
 	"sync"
 	"time"
+
+	"radishshed.example/radishshed/pkg/transport/inspector"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
+// path says over which path a connection reaches its target. It is sealed.
+type path interface{ isPath() }
+
+// directPath is a connection of this router to the target.
+type directPath struct{ socket net.Conn }
+
+// relayedPath is a connection through another router.
+type relayedPath struct{ tunnel *linker.Tunnel }
+
+func (*directPath) isPath()  {}
+func (*relayedPath) isPath() {}
+
 // connection is a connection to a target, direct or relayed.
 type connection struct {
 	net.Conn
+	path    path
 	relayer *Relayer
-	relayed bool
 }
 
 // Read reads from the target and records that something has arrived.
@@ -23,18 +38,52 @@
 }
 
 // Reusable reports whether another request may use the connection. Relayed ones are not kept
-// once the path is back, and not if another request may be one that their relay must not carry.
+// once the path is back, nor if another request may be one that their relay must not carry, nor
+// while part of a request is still on its way: the next one would be behind it.
 func (c *connection) Reusable() bool {
-	return !c.relayed || c.relayer.Lost() && c.relayer.config.ReusesRelayed()
+	switch p := c.path.(type) {
+	case *relayedPath:
+		return c.relayer.Lost() && c.relayer.config.ReusesRelayed() && p.tunnel.Acknowledged()
+	default:
+		return true
+	}
+}
+
+// AwaitAcknowledged waits, once Read has returned io.EOF, until the target has acknowledged all
+// bytes written. It returns an error if it will not, or if that cannot be known.
+func (c *connection) AwaitAcknowledged() error {
+	switch p := c.path.(type) {
+	case *relayedPath:
+		return p.tunnel.AwaitAcknowledged()
+	case *directPath:
+		return inspector.AwaitAcknowledged(p.socket)
+	default:
+		return nil
+	}
 }
 
 // carriedConnection is a connection that this router has opened for another one.
 type carriedConnection struct {
 	net.Conn
+	socket  net.Conn // beneath Conn
 	relayer *Relayer
 	once    sync.Once
 }
 
+// Acknowledged implements linker.Destination.
+func (c *carriedConnection) Acknowledged() bool { return inspector.Acknowledged(c.socket) }
+
+// AwaitAcknowledged implements linker.Destination.
+func (c *carriedConnection) AwaitAcknowledged() error { return inspector.AwaitAcknowledged(c.socket) }
+
+// Abort implements linker.Destination.
+func (c *carriedConnection) Abort() {
+	if socket, ok := c.socket.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0) // fails only if the connection has been closed
+	}
+	_ = c.Close() // as above
+}
+
 // Close closes the connection and makes room for another one.
 func (c *carriedConnection) Close() error {
 	c.once.Do(func() { c.relayer.relayed.Add(-1) })
--- a/internal/relayer/dial.go
+++ b/internal/relayer/dial.go
@@ -11,6 +11,7 @@
 
 	"radishshed.example/radishshed/internal/recorder"
 	"radishshed.example/radishshed/internal/relayselector"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 const (
@@ -48,7 +49,7 @@
 	}
 	socket, err := r.dialDirect(ctx, address)
 	if err == nil {
-		return &connection{Conn: socket, relayer: r}, nil
+		return &connection{Conn: socket, path: &directPath{socket}, relayer: r}, nil
 	}
 	if ctx.Err() == nil && r.pathLost(ctx) {
 		return r.dialRelayed(ctx, address)
@@ -120,11 +121,11 @@
 		if !ok {
 			return nil, err
 		}
-		var socket net.Conn
-		socket, err = r.openThrough(ctx, relay, address)
+		var tunnel *linker.Tunnel
+		tunnel, err = r.openThrough(ctx, relay, address)
 		if err == nil {
 			r.opened.Inc(1)
-			return &connection{Conn: socket, relayer: r, relayed: true}, nil
+			return &connection{Conn: tunnel, path: &relayedPath{tunnel}, relayer: r}, nil
 		}
 		var unreachable *unreachableError
 		if errors.As(err, &unreachable) || ctx.Err() != nil {
@@ -154,14 +155,14 @@
 	return nil
 }
 
-func (r *Relayer) openThrough(ctx context.Context, relay relayselector.Candidate, address string) (net.Conn, error) {
+func (r *Relayer) openThrough(ctx context.Context, relay relayselector.Candidate, address string) (*linker.Tunnel, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	data, err := encodeRequest(address)
 	if err != nil {
 		return nil, err
 	}
-	socket, data, err := r.config.Tunneller().OpenTunnel(ctx, relay.Address(), data)
+	tunnel, data, err := r.config.Tunneller().OpenTunnel(ctx, relay.Address(), data)
 	if err != nil {
 		return nil, err
 	}
@@ -170,9 +171,9 @@
 		err = reply.err(relay.VM())
 	}
 	if err != nil {
-		_ = socket.Close() // the relay has refused
+		_ = tunnel.Close() // the relay has refused
 		return nil, err
 	}
 	r.selector.RecordAccepted(relay, reply.load, time.Now())
-	return socket, nil
+	return tunnel, nil
 }
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -2,23 +2,23 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"syscall"
 
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/recorder"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 // Accept implements linker.TunnelHandler: it opens a direct connection for another router.
-func (r *Relayer) Accept(ctx context.Context, request []byte) ([]byte, net.Conn) {
-	socket, outcome := r.open(ctx, request)
+func (r *Relayer) Accept(ctx context.Context, request []byte) ([]byte, linker.Destination) {
+	destination, outcome := r.open(ctx, request)
 	data, err := encodeReply(reply{outcome, r.load()})
 	if err != nil {
 		r.config.Log.Warn("cannot encode the reply to a router that has lost its path", recorder.Err(err))
 	}
-	return data, socket
+	return data, destination
 }
 
 // load returns how busy this router is, where 1 is full.
@@ -26,7 +26,8 @@
 	return max(r.config.Load(), float64(r.relayed.Load())/float64(r.config.MaxRelayed))
 }
 
-func (r *Relayer) open(ctx context.Context, request []byte) (net.Conn, outcome) {
+// open returns nil unless the outcome is accepted.
+func (r *Relayer) open(ctx context.Context, request []byte) (linker.Destination, outcome) {
 	address, err := decodeRequest(request)
 	switch {
 	case err != nil || !slices.Contains(r.config.Targets(), address):
@@ -46,5 +47,5 @@
 		return nil, targetUnreachable
 	}
 	r.carried.Inc(1)
-	return &carriedConnection{Conn: r.config.WrapCarried(socket), relayer: r}, accepted
+	return &carriedConnection{Conn: r.config.WrapCarried(socket), socket: socket, relayer: r}, accepted
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -5,8 +5,9 @@
 // the request with its budget, permits, deadline, retries and response; the one in between
 // knows nothing of it. So what holds for a request on a direct connection holds on a relayed
 // one: a tunnel that is not opened has carried nothing, one that breaks off is a connection
-// that was reset, and only the orderly end of a connection is passed on as such. A relay
-// opens direct connections only, so that no connection is relayed twice.
+// that was reset, and only the orderly end of a connection is passed on as such. On both, a
+// request has been delivered only once its target has acknowledged it. A relay opens direct
+// connections only, so that no connection is relayed twice.
 package relayer
 
 import (
@@ -22,6 +23,7 @@
 	"radishshed.example/radishshed/internal/pathmonitor"
 	"radishshed.example/radishshed/internal/relayselector"
 	"radishshed.example/radishshed/pkg/coordination/repeater"
+	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 const (
@@ -33,7 +35,7 @@
 
 // Tunneller opens tunnels to other processes. linker.Endpoint implements it.
 type Tunneller interface {
-	OpenTunnel(ctx context.Context, address string, request []byte) (net.Conn, []byte, error)
+	OpenTunnel(ctx context.Context, address string, request []byte) (*linker.Tunnel, []byte, error)
 }
 
 // Config configures a Relayer.
--- a/pkg/transport/linker/handshake.go
+++ b/pkg/transport/linker/handshake.go
@@ -105,8 +105,8 @@
 
 // dialSocket opens a WebSocket connection to the address, which includes the path, and returns
 // the header of the response. The two ends prove that they know the fleet key for the given
-// purposes.
-func (e *Endpoint) dialSocket(ctx context.Context, address, purpose, responsePurpose string) (*websocket.Conn, http.Header, error) {
+// purposes. The connection has one of the subprotocols if the other end knows it, or none.
+func (e *Endpoint) dialSocket(ctx context.Context, address, purpose, responsePurpose string, subprotocols ...string) (*websocket.Conn, http.Header, error) {
 	scheme := "ws"
 	if e.config.TLS != nil {
 		scheme = "wss"
@@ -118,8 +118,9 @@
 	header.Set(proofHeader, hex.EncodeToString(e.proof(purpose, nonce)))
 	// The library closes the body of the response.
 	socket, response, err := websocket.Dial(ctx, scheme+"://"+address, &websocket.DialOptions{ //nolint:bodyclose // see above
-		HTTPClient: e.client,
-		HTTPHeader: header,
+		HTTPClient:   e.client,
+		HTTPHeader:   header,
+		Subprotocols: subprotocols,
 	})
 	if err != nil {
 		return nil, nil, err
--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/hex"
-	"io"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -18,21 +15,40 @@
 const TunnelPath = "/tunnel"
 
 const (
-	// tunnelBufferBytes is the largest message in a tunnel.
+	// tunnelBufferBytes is the most data in a message of a tunnel.
 	tunnelBufferBytes = 16 << 10
+	// maxReportBytes is the most that the encoding of a report takes.
+	maxReportBytes = tunnelBufferBytes + 64
+	// tunnelWindowBytes is how many bytes may be on their way to the destination: sent to the
+	// process between, and not yet taken by its connection to the destination.
+	tunnelWindowBytes = 32 << 10
 	maxTunnelRequest  = 4 << 10
 
+	// reportingProtocol is the WebSocket subprotocol of tunnels whose accepting end says what it
+	// has written and how the destination has ended. Without it, messages are the bytes alone,
+	// and the status of the closure says how the destination has ended.
+	reportingProtocol = "reportingTunnel"
+
 	// The purposes of the two proofs of the fleet key.
 	tunnelPurpose       = "tunnel"
 	acceptTunnelPurpose = "acceptTunnel"
 )
 
-// ErrTunnelBroken means that a tunnel has ended before its destination ended the connection.
-var ErrTunnelBroken = errors.New("the tunnel is broken")
+// Destination is a connection that was opened for a tunnel.
+type Destination interface {
+	net.Conn
+	// Acknowledged reports whether the destination has acknowledged all bytes written.
+	Acknowledged() bool
+	// AwaitAcknowledged waits until the destination has acknowledged all bytes written. It
+	// returns an error if the destination resets the connection, or this end closes it.
+	AwaitAcknowledged() error
+	// Abort closes the connection and discards what the destination has not acknowledged.
+	Abort()
+}
 
 // TunnelHandler handles the request for a tunnel. It returns its reply and the connection to
 // which the tunnel leads, or nil if it refuses.
-type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination net.Conn)
+type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination Destination)
 
 // Tunnels accepts tunnels from other processes. A tunnel is a WebSocket connection that
 // carries the bytes of one connection which this process opens for its peer. Both ends prove
@@ -54,7 +70,7 @@
 		return
 	}
 	w.Header().Set(proofHeader, hex.EncodeToString(t.endpoint.proof(acceptTunnelPurpose, nonce)))
-	socket, err := websocket.Accept(w, r, nil)
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{reportingProtocol}})
 	if err != nil {
 		return // Accept has sent an error response
 	}
@@ -67,13 +83,13 @@
 	if destination == nil {
 		return
 	}
-	c := &carrier{socket: socket, destination: destination}
+	c := newCarrier(socket, destination)
 	c.carry(t.endpoint.ctx)
 	c.logEnd(t.endpoint.config.Log)
 }
 
 // open reads the request for a tunnel, opens the connection to its destination, and replies.
-func (t *Tunnels) open(socket *websocket.Conn) (net.Conn, error) {
+func (t *Tunnels) open(socket *websocket.Conn) (Destination, error) {
 	ctx, cancel := context.WithTimeout(t.endpoint.ctx, handshakeTimeout)
 	defer cancel()
 	socket.SetReadLimit(maxTunnelRequest)
@@ -91,100 +107,13 @@
 	return destination, nil
 }
 
-// carrier carries the bytes of a tunnel.
-type carrier struct {
-	socket      *websocket.Conn
-	destination net.Conn
-
-	// Written by runRequests: the bytes taken from the peer and written to the destination, and
-	// what ended it.
-	taken, written int64
-	requestErr     error
-	// Written by runResponses.
-	responseBytes int64
-	responseErr   error
-}
-
-// logEnd logs how both directions ended. Both must have.
-func (c *carrier) logEnd(log *zap.Logger) {
-	log.Info("tunnel of a peer ended",
-		zap.Stringer("destination", c.destination.RemoteAddr()), zap.Int64("taken", c.taken), zap.Int64("written", c.written),
-		zap.Int64("responseBytes", c.responseBytes), endField("requestEnd", c.requestErr), endField("responseEnd", c.responseErr))
-}
-
-// endField returns a log field that says what ended one direction of a connection.
-func endField(key string, err error) zap.Field {
-	if err == nil {
-		return zap.Skip()
-	}
-	return zap.String(key, err.Error())
-}
-
-// carry returns when the tunnel has ended. If one end breaks, so does the other.
-func (c *carrier) carry(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c.socket.SetReadLimit(-1)
-	var running sync.WaitGroup
-	running.Go(func() {
-		c.runRequests(ctx)
-		_ = c.destination.Close() // the peer has ended the tunnel
-	})
-	c.runResponses(ctx)
-	cancel()
-	running.Wait()
-}
-
-// runRequests carries bytes from the peer to the destination.
-func (c *carrier) runRequests(ctx context.Context) {
-	for {
-		_, data, err := c.socket.Read(ctx)
-		if err != nil {
-			c.requestErr = errors.Wrap(err, "read from the peer")
-			return
-		}
-		c.taken += int64(len(data))
-		n, err := c.destination.Write(data)
-		c.written += int64(n)
-		if err != nil {
-			c.requestErr = errors.Wrap(err, "write to the destination")
-			return
-		}
-	}
-}
-
-// runResponses carries bytes from the destination to the peer. Only an orderly end of the
-// connection becomes an orderly end of the tunnel: a response may end with its connection.
-func (c *carrier) runResponses(ctx context.Context) {
-	buffer := make([]byte, tunnelBufferBytes)
-	for {
-		n, err := c.destination.Read(buffer)
-		if n > 0 {
-			if writeErr := c.socket.Write(ctx, websocket.MessageBinary, buffer[:n]); writeErr != nil {
-				c.responseErr = errors.Wrap(writeErr, "write to the peer")
-				return
-			}
-			c.responseBytes += int64(n)
-		}
-		c.responseErr = err
-		switch {
-		case errors.Is(err, io.EOF):
-			_ = c.socket.Close(websocket.StatusNormalClosure, "") // fails only if the peer has left
-			return
-		case err != nil:
-			_ = c.socket.CloseNow() // the peer sees that the end is not orderly
-			return
-		}
-	}
-}
-
 // OpenTunnel asks the process at the address for a tunnel and returns its reply. The
 // connection is of use only if the reply says so, and must be closed in any case. The
 // context bounds the time until the reply has arrived.
-func (e *Endpoint) OpenTunnel(ctx context.Context, address string, request []byte) (net.Conn, []byte, error) {
+func (e *Endpoint) OpenTunnel(ctx context.Context, address string, request []byte) (*Tunnel, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	socket, _, err := e.dialSocket(ctx, address+TunnelPath, tunnelPurpose, acceptTunnelPurpose)
+	socket, _, err := e.dialSocket(ctx, address+TunnelPath, tunnelPurpose, acceptTunnelPurpose, reportingProtocol)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
 	}
@@ -193,7 +122,9 @@
 		_ = socket.CloseNow() // the tunnel is of no use
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
 	}
-	return &tunnel{Conn: websocket.NetConn(e.ctx, socket, websocket.MessageBinary), socket: socket, log: e.config.Log.With(zap.String("relay", address))}, reply, nil
+	t := newTunnel(e, socket, address)
+	go t.run()
+	return t, reply, nil
 }
 
 func requestTunnel(ctx context.Context, socket *websocket.Conn, request []byte) ([]byte, error) {
@@ -204,61 +135,10 @@
 	return reply, errors.Wrap(err, "receive the reply")
 }
 
-// tunnel is the end of a tunnel that asked for it.
-type tunnel struct {
-	net.Conn
-	socket *websocket.Conn
-	log    *zap.Logger
-
-	sent, received    atomic.Int64
-	readErr, writeErr atomic.Pointer[error]
-	closing           sync.Once
-}
-
-// Read reads what the destination has sent. It returns io.EOF only if the destination ended its
-// connection in an orderly way, and ErrTunnelBroken if the tunnel itself has ended, as when the
-// process between has: the WebSocket library wraps io.EOF in its errors then.
-func (t *tunnel) Read(p []byte) (int, error) {
-	n, err := t.Conn.Read(p)
-	t.received.Add(int64(n))
-	if err != nil {
-		t.readErr.CompareAndSwap(nil, &err)
-	}
-	if err == nil || err == io.EOF { //nolint:errorlint // an error that wraps io.EOF is no orderly end
-		return n, err
-	}
-	return n, errors.Wrap(ErrTunnelBroken, err.Error())
-}
-
-// Write sends bytes to the peer.
-func (t *tunnel) Write(p []byte) (int, error) {
-	n, err := t.Conn.Write(p)
-	t.sent.Add(int64(n))
-	if err != nil {
-		t.writeErr.CompareAndSwap(nil, &err)
-	}
-	return n, err
-}
-
-// Close ends the tunnel at once, without waiting for the peer.
-func (t *tunnel) Close() error {
-	t.closing.Do(t.logEnd)
-	return t.socket.CloseNow()
-}
-
-// logEnd logs what was seen of the tunnel until this end closes it, if it was used.
-func (t *tunnel) logEnd() {
-	if t.sent.Load() == 0 {
-		return
-	}
-	t.log.Info("tunnel to a relay closed", zap.Int64("sent", t.sent.Load()), zap.Int64("received", t.received.Load()),
-		endField("readEnd", valueOf(&t.readErr)), endField("writeEnd", valueOf(&t.writeErr)))
-}
-
-// valueOf returns the error that is stored, or nil.
-func valueOf(p *atomic.Pointer[error]) error {
-	if err := p.Load(); err != nil {
-		return *err
+// endField returns a log field that says what ended one direction of a connection.
+func endField(key string, err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
 	}
-	return nil
+	return zap.String(key, err.Error())
 }
