forwarder: the end of a connection ends a response only once the target has got the whole request

What callers saw: half of an answer without a length as a complete success at the own interface too, directly (with an ordinary window of the target's network) and through a router. Change: connections to targets return an end of file only once the whole request has been written and the target has acknowledged it, as far as the kernel or the relay says; else the body is cut short. They wait until then, or until the request is given up. The exchanger asks in the same way (inspector.Acknowledger).

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -80,14 +80,13 @@
 
 // connection is one connection to a target.
 type connection struct {
-	net.Conn
+	net.Conn           // counts its bytes
+	socket    net.Conn // beneath it
 	limiter   *headLimiter
 	reader    *bufio.Reader
 	mayReuse  func() bool
 	address   string
 	idleSince time.Time
-	// awaitAcknowledged waits until the target has acknowledged all bytes written.
-	awaitAcknowledged func() error
 }
 
 // Exchanger sends requests to targets and pools idle connections. It is safe for
@@ -124,14 +123,6 @@
 	Reusable() bool
 }
 
-// acknowledged is implemented by connections that know what the target has got.
-type acknowledged interface {
-	// AwaitAcknowledged waits, once Read has returned io.EOF, until the target has acknowledged
-	// all bytes written. It returns an error if it will not, if that cannot be known, or if the
-	// connection is closed meanwhile.
-	AwaitAcknowledged() error
-}
-
 // New returns an exchanger with an empty connection pool.
 func New(c Config) *Exchanger {
 	if c.ConnectionOpened == nil {
@@ -195,7 +186,7 @@
 // was to the writer of the request, the body seems to end in an orderly way. It waits as long as
 // the target may still get the rest, at most until the context of the request ends.
 func (r *Response) awaitDelivered() bool {
-	return <-r.written == nil && r.connection.awaitAcknowledged() == nil
+	return <-r.written == nil && inspector.AwaitAcknowledged(r.connection.socket) == nil
 }
 
 // Close releases the response. The connection returns to the pool if it can be reused,
@@ -340,15 +331,11 @@
 	if r, ok := socket.(reusable); ok {
 		mayReuse = r.Reusable
 	}
-	awaitAcknowledged := func() error { return inspector.AwaitAcknowledged(socket) }
-	if a, ok := socket.(acknowledged); ok {
-		awaitAcknowledged = a.AwaitAcknowledged
-	}
 	counted := e.byteCounter.WrapConnection(socket)
 	limiter := &headLimiter{source: counted}
 	return &connection{
 		Conn: counted, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
-		mayReuse: mayReuse, address: r.Address, awaitAcknowledged: awaitAcknowledged,
+		socket: socket, mayReuse: mayReuse, address: r.Address,
 	}, nil
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -117,13 +117,13 @@
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
+	var dial dialFunc = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}).DialContext
 	if config.Dial != nil {
 		dial = func(ctx context.Context, _, address string) (net.Conn, error) { return config.Dial(ctx, address) }
 	}
 	transport := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         dial,
+			DialContext:         dial.withDeliveries(),
 			TLSClientConfig:     config.TLS,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
@@ -152,7 +152,12 @@
 func (f *Forwarder) Send(ctx context.Context, r Request) (*Response, *Failure) {
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected = true
+			if c, ok := info.Conn.(*connection); ok {
+				c.begin(len(r.Body))
+			}
+		},
 	})
 	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
--- a/pkg/transport/inspector/inspector.go
+++ b/pkg/transport/inspector/inspector.go
@@ -34,10 +34,22 @@
 	return err == nil && s.acknowledged && !s.reset
 }
 
+// Acknowledger is implemented by connections that know themselves what their peer has got.
+type Acknowledger interface {
+	// AwaitAcknowledged waits, once Read has returned io.EOF, until the peer has acknowledged
+	// all bytes that were written. It returns an error if the peer will not, if that cannot be
+	// known, or if the connection is closed meanwhile.
+	AwaitAcknowledged() error
+}
+
 // AwaitAcknowledged waits until the peer has acknowledged all bytes that were written. It returns
 // ErrReset if the peer has reset the connection, and another error if the connection is closed
-// meanwhile. It returns nil at once for a connection of which the kernel does not tell.
+// meanwhile. It asks an Acknowledger, and otherwise the kernel. It returns nil at once for a
+// connection of which the kernel does not tell.
 func AwaitAcknowledged(c net.Conn) error {
+	if a, ok := c.(Acknowledger); ok {
+		return a.AwaitAcknowledged()
+	}
 	for interval := minPollInterval; ; interval = min(2*interval, maxPollInterval) {
 		s, err := inspect(c)
 		switch {
