--- a/internal/relayer/delivery_test.go
+++ b/internal/relayer/delivery_test.go
@@ -12,20 +12,16 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"radishshed.example/radishshed/internal/exchanger"
 	"radishshed.example/radishshed/internal/forwarder"
+	"radishshed.example/radishshed/internal/simulator"
 	"radishshed.example/radishshed/pkg/protocol/classifier"
 )
 
 const (
-	// networkSegmentBytes and networkWindowBytes are those of an ordinary network. With those of
-	// loopback, a reset mostly finds the whole request at the target.
-	networkSegmentBytes = 1448
-	networkWindowBytes  = 8 << 10
 	// endDelay is how long after its response a target ends the connection.
 	endDelay = 20 * time.Millisecond
 	// slowRead is how long a target that is sound but slow takes to read a request. It is longer
@@ -42,17 +38,7 @@
 // newNarrowTarget returns a target with the segments and the window of an ordinary network.
 func newNarrowTarget(t *testing.T, handle func(net.Conn, *http.Request)) string {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failure error
-		err := c.Control(func(fd uintptr) {
-			failure = errors.Join(
-				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, networkSegmentBytes),
-				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, networkWindowBytes),
-			)
-		})
-		return errors.Join(err, failure)
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := simulator.ListenOverNetwork("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
