--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -9,13 +9,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,16 +23,6 @@
 )
 
 const (
-	readBufferBytes = 4 << 10
-	headBufferBytes = 1 << 10
-	// maxCopiedBytes limits the bodies that are copied behind the head of their request.
-	maxCopiedBytes = 8 << 10
-	// maxIdleTime is well below the idle timeouts of targets. An idle connection must
-	// not be reused when the target is about to close it, since a request that is sent
-	// then may or may not have run.
-	maxIdleTime = 2 * time.Second
-	// maxIdleConnections limits the number of idle connections to a target.
-	maxIdleConnections = 4
 	// maxStrayResponses limits how many responses are read until one belongs to the
 	// request. Informational (1xx) responses count as well.
 	maxStrayResponses = 4
@@ -238,48 +225,6 @@
 	return &Response{exchanger: e, connection: c, response: response, written: w.done, stopCancellation: stop}, nil
 }
 
-// writer writes a request while its response is being read, since a target may respond
-// before it has read the complete body. The head and the body are written one after the other, so
-// that memory holds only one copy of the body.
-type writer struct {
-	connection *connection
-	data       net.Buffers
-	done       chan error
-}
-
-func (w *writer) run() {
-	_, err := w.data.WriteTo(w.connection)
-	w.done <- err
-}
-
-// encode returns the head and the body. A small body is copied behind the head, which saves a
-// write.
-func (r Request) encode() net.Buffers {
-	var b bytes.Buffer
-	b.Grow(headBufferBytes)
-	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	for name, values := range r.Header() {
-		for _, value := range values {
-			b.WriteString(name + ": " + sanitise(value) + "\r\n")
-		}
-	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	if len(r.Body) > maxCopiedBytes {
-		return net.Buffers{b.Bytes(), r.Body}
-	}
-	b.Write(r.Body)
-	return net.Buffers{b.Bytes()}
-}
-
-// sanitise replaces line breaks in the value of a header field, which could otherwise
-// inject further fields.
-func sanitise(value string) string {
-	return strings.NewReplacer("\r", " ", "\n", " ").Replace(value)
-}
-
 // receive reads responses until one belongs to the request.
 func (c *connection) receive(r Request) (*http.Response, error) {
 	for range maxStrayResponses {
@@ -313,85 +258,3 @@
 	defer c.limiter.endHead()
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
-
-// connect returns an idle connection if there is one and the request allows its reuse,
-// and otherwise dials a new one.
-func (e *Exchanger) connect(ctx context.Context, r Request) (*connection, error) {
-	if !r.NewConnection {
-		if c := e.takeIdle(r.Address); c != nil {
-			return c, nil
-		}
-	}
-	socket, err := e.dial(ctx, r.Address)
-	if err != nil {
-		return nil, err
-	}
-	e.connectionOpened()
-	mayReuse := func() bool { return true }
-	if r, ok := socket.(reusable); ok {
-		mayReuse = r.Reusable
-	}
-	counted := e.byteCounter.WrapConnection(socket)
-	limiter := &headLimiter{source: counted}
-	return &connection{
-		Conn: counted, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
-		socket: socket, mayReuse: mayReuse, address: r.Address,
-	}, nil
-}
-
-// takeIdle removes an idle connection from the pool and returns it, or nil.
-func (e *Exchanger) takeIdle(address string) *connection {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	idle := e.idle[address]
-	for len(idle) > 0 {
-		c := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		e.idle[address] = idle
-		if time.Since(c.idleSince) < maxIdleTime {
-			return c
-		}
-		_ = c.Close() // nothing to do about a failing close
-	}
-	return nil
-}
-
-// release returns a connection to the pool, or closes it if the pool is full.
-func (e *Exchanger) release(c *connection) {
-	c.idleSince = time.Now()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if len(e.idle[c.address]) >= maxIdleConnections || !c.mayReuse() {
-		_ = c.Close() // nothing to do about a failing close
-		return
-	}
-	e.idle[c.address] = append(e.idle[c.address], c)
-}
-
-// CloseAllIdle closes all connections that are idle.
-func (e *Exchanger) CloseAllIdle() { e.closeIdle(func(*connection) bool { return true }) }
-
-// CloseIdle closes the connections that have been idle for at least maxIdleTime.
-func (e *Exchanger) CloseIdle(now time.Time) {
-	e.closeIdle(func(c *connection) bool { return now.Sub(c.idleSince) >= maxIdleTime })
-}
-
-func (e *Exchanger) closeIdle(mustClose func(*connection) bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for address, idle := range e.idle {
-		var kept []*connection
-		for _, c := range idle {
-			if !mustClose(c) {
-				kept = append(kept, c)
-				continue
-			}
-			_ = c.Close() // nothing to do about a failing close
-		}
-		if len(kept) == 0 {
-			delete(e.idle, address)
-			continue
-		}
-		e.idle[address] = kept
-	}
-}
--- a/pkg/transport/linker/carrier.go
+++ b/pkg/transport/linker/carrier.go
@@ -98,13 +98,16 @@
 	}
 }
 
-// take queues bytes for the destination.
+// take queues bytes for the destination, unless they cannot reach it any more.
 func (c *carrier) take(data []byte) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for !c.queue.reports && c.queue.isFull() && c.requestErr == nil {
 		c.changed.Wait()
 	}
+	if c.requestErr != nil {
+		return nil
+	}
 	c.changed.Broadcast()
 	return c.queue.add(data)
 }
