linker: a relay lets go of a destination that has ended before it waits for the other router

What callers saw: nothing; found by reading the diff. A broken tunnel is closed behind its bytes, which waits for the other router; a frozen one would have kept the connection to the target, and its place at the relay, for up to 10 s, in a planned stop too. Change: the way to the destination ends first; one place decides the status of the closure.

--- a/pkg/transport/linker/carrier.go
+++ b/pkg/transport/linker/carrier.go
@@ -173,13 +173,18 @@
 }
 
 // runResponses carries bytes from the destination to the peer, and tells it how the destination
-// ended its connection. The closure of a tunnel that breaks comes behind the bytes.
+// ended its connection. The closure of the tunnel comes behind the bytes, and waits for the peer.
 func (c *carrier) runResponses(ctx context.Context) {
 	c.responseErr = c.carryResponses(ctx)
 	if errors.Is(c.responseErr, io.EOF) {
 		c.responseErr = c.passOnEnd(ctx)
 	}
-	_ = c.socket.Close(websocket.StatusInternalError, "") // has no effect on a tunnel that has been closed
+	c.end(c.responseErr)
+	status := websocket.StatusInternalError
+	if errors.Is(c.responseErr, io.EOF) {
+		status = websocket.StatusNormalClosure
+	}
+	_ = c.socket.Close(status, "") // fails only if the peer has left
 }
 
 func (c *carrier) carryResponses(ctx context.Context) error {
@@ -199,7 +204,9 @@
 }
 
 // passOnEnd tells the peer that the destination has ended in an orderly way, as soon as it has
-// acknowledged all bytes taken from the peer, and again whenever it has acknowledged more.
+// acknowledged all bytes taken from the peer, and again whenever it has acknowledged more. It
+// returns io.EOF once the peer needs to know no more, and another error if the end was no orderly
+// one. A peer that understands no reports learns it from the closure of the tunnel.
 func (c *carrier) passOnEnd(ctx context.Context) error {
 	for {
 		written, err := c.awaitWritten()
@@ -210,7 +217,6 @@
 			return err
 		}
 		if !c.queue.reports {
-			_ = c.socket.Close(websocket.StatusNormalClosure, "") // fails only if the peer has left
 			return io.EOF
 		}
 		if err := c.sendReport(ctx, report{written: written, ended: true}); err != nil {
