linker: a relay waits for a silent router no longer than a link would, once the target has ended

Cause, by its log and by reading: it drained, logged no end of open connections, and its peers were paused, terminated and reset beside it. After a relay whose target has ended waits without a limit for the other router to leave or to send more; one that leaves unnoticed keeps the connection counted. Before, the closure of the tunnel bounded this wait. The log does not exclude an open connection of a caller. Change: once the other router has been told of the end, it may be silent for as long as on a link (HeartbeatTimeout). The tunnel then breaks: no response becomes whole by it.

--- a/pkg/transport/linker/carrier.go
+++ b/pkg/transport/linker/carrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 type carrier struct {
 	socket      *websocket.Conn
 	destination Destination
+	// silenceTimeout is how long the peer may send nothing once it knows that the destination has
+	// ended: it may have left unnoticed.
+	silenceTimeout time.Duration
 
 	mutex      sync.Mutex
 	changed    *sync.Cond
@@ -30,8 +34,8 @@
 	responseErr   error
 }
 
-func newCarrier(socket *websocket.Conn, destination Destination) *carrier {
-	c := &carrier{socket: socket, destination: destination, queue: forwardQueue{reports: socket.Subprotocol() == reportingProtocol}}
+func newCarrier(socket *websocket.Conn, destination Destination, silenceTimeout time.Duration) *carrier {
+	c := &carrier{socket: socket, destination: destination, silenceTimeout: silenceTimeout, queue: forwardQueue{reports: socket.Subprotocol() == reportingProtocol}}
 	c.changed = sync.NewCond(&c.mutex)
 	return c
 }
@@ -240,12 +244,15 @@
 }
 
 // awaitMore waits until more bytes than these have been taken from the peer. It returns false if
-// the peer has left, or bytes cannot be written any more.
+// the peer has left or stays silent, or bytes cannot be written any more.
 func (c *carrier) awaitMore(taken int64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for c.queue.taken == taken && c.requestErr == nil {
+	silentAt := time.Now().Add(c.silenceTimeout)
+	timer := time.AfterFunc(c.silenceTimeout, c.changed.Broadcast)
+	defer timer.Stop()
+	for c.queue.taken == taken && c.requestErr == nil && time.Now().Before(silentAt) {
 		c.changed.Wait()
 	}
-	return c.requestErr == nil
+	return c.queue.taken > taken && c.requestErr == nil
 }
--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -83,7 +83,7 @@
 	if destination == nil {
 		return
 	}
-	c := newCarrier(socket, destination)
+	c := newCarrier(socket, destination, t.endpoint.config.HeartbeatTimeout)
 	c.carry(t.endpoint.ctx)
 	c.logEnd(t.endpoint.config.Log)
 }
