linker: a tunnel whose socket the end of its time limit closes counts as not opened

What callers saw: nothing; one of some 1,500 responses of the tests at the own interface under -race, beside a load of 20: "failed to write msg: use of closed network connection", so a request that was never sent may have run for its caller. Cause, by reading only: the WebSocket library closes the socket when the context of a read ends, also if the read has just got the reply. The tunnel was returned all the same. Change: OpenTunnel looks at its context after the reply. The library stops to watch the context before the read returns, so one look is enough. The failure was not seen again in two runs with -race before this change, so they do not show that it is this.

--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -118,6 +118,9 @@
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
 	}
 	reply, err := requestTunnel(ctx, socket, request)
+	if err == nil {
+		err = ctx.Err() // the end of the context during the last read closes the socket
+	}
 	if err != nil {
 		_ = socket.CloseNow() // the tunnel is of no use
 		return nil, nil, errors.Wrapf(err, "open a tunnel to %s", address)
