linker: a tunnel on which nothing was sent does not hold up the stop of its relay

Cause: its stacks show that it waits in Relayer.AwaitUnused for one tunnel on which neither end does anything, and no router logged the end of a used tunnel to it: the router that opened it has left unnoticed before it sent anything. A relay ends one on which nothing has arrived within HeartbeatTimeout. TestTunnelThatIsNotUsedIsLetGo fails without the change ("the connection to the destination is still open").

--- a/pkg/transport/linker/carrier.go
+++ b/pkg/transport/linker/carrier.go
@@ -14,6 +14,10 @@
 // errPeerLeft means that the other end of a tunnel has ended it.
 var errPeerLeft = errors.New("the other end of the tunnel has left")
 
+// errUnused means that the other end of a tunnel has sent nothing, though it opened the tunnel to
+// send at once: it may have left unnoticed.
+var errUnused = errors.New("the tunnel is not used")
+
 // carrier carries the bytes of a tunnel at the end that opened the connection to the destination.
 // It holds at most tunnelWindowBytes that the destination has not taken. It tells its peer how many
 // it has taken, and that the destination has ended in an orderly way only once that has
@@ -44,6 +48,8 @@
 func (c *carrier) carry(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	context.AfterFunc(ctx, func() { c.end(ctx.Err()) })
+	unused := time.AfterFunc(c.silenceTimeout, c.endIfUnused)
+	defer unused.Stop()
 	c.socket.SetReadLimit(-1)
 	if c.queue.reports {
 		c.socket.SetReadLimit(tunnelBufferBytes)
@@ -72,6 +78,16 @@
 	c.destination.Abort()
 }
 
+// endIfUnused ends the way to the destination if the peer has sent nothing.
+func (c *carrier) endIfUnused() {
+	c.mutex.Lock()
+	unused := c.queue.taken == 0
+	c.mutex.Unlock()
+	if unused {
+		c.end(errUnused)
+	}
+}
+
 // logEnd logs how both directions ended. Both must have.
 func (c *carrier) logEnd(log *zap.Logger) {
 	log.Info("tunnel of a peer ended",
--- a/pkg/transport/linker/tunnel_test.go
+++ b/pkg/transport/linker/tunnel_test.go
@@ -343,6 +343,27 @@
 	}
 }
 
+// Guards against a planned stop that waits for ever for a tunnel whose other end has left unnoticed
+// before it sent anything.
+func TestTunnelThatIsNotUsedIsLetGo(t *testing.T) {
+	left := make(chan bool, 1)
+	destination := newDestination(t, func(c *net.TCPConn) {
+		_ = c.SetReadDeadline(time.Now().Add(tunnelTestTimeout))
+		_, err := c.Read(make([]byte, 1))
+		left <- errors.Is(err, io.EOF)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelTestTimeout)
+	defer cancel()
+	tunnel, _, err := newTestEndpoint(t).OpenTunnel(ctx, newRelay(t, destination), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = tunnel.Close() }() // not before the destination has been let go
+	if !<-left {
+		t.Error("the connection to the destination is still open")
+	}
+}
+
 // Guards against the end of a process between that passes for that of the destination: only a
 // report, or of a process of the last release a normal closure, says that it has ended.
 func TestOnlyTheRightClosureIsAnOrderlyEnd(t *testing.T) {
