relayer: the kind of a connection follows from what it wraps

A connection held its socket twice, as net.Conn and in a path type of two cases. The type of what it wraps says the same, and inspector already asks a tunnel itself. No behaviour changes; tests of relayer pass.

--- a/internal/relayer/connection.go
+++ b/internal/relayer/connection.go
@@ -9,22 +9,9 @@
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
-// path says over which path a connection reaches its target. It is sealed.
-type path interface{ isPath() }
-
-// directPath is a connection of this router to the target.
-type directPath struct{ socket net.Conn }
-
-// relayedPath is a connection through another router.
-type relayedPath struct{ tunnel *linker.Tunnel }
-
-func (*directPath) isPath()  {}
-func (*relayedPath) isPath() {}
-
-// connection is a connection to a target, direct or relayed.
+// connection is a connection to a target: a direct one, or a tunnel through another router.
 type connection struct {
 	net.Conn
-	path    path
 	relayer *Relayer
 }
 
@@ -41,26 +28,12 @@
 // once the path is back, nor if another request may be one that their relay must not carry, nor
 // while part of a request is still on its way: the next one would be behind it.
 func (c *connection) Reusable() bool {
-	switch p := c.path.(type) {
-	case *relayedPath:
-		return c.relayer.Lost() && c.relayer.config.ReusesRelayed() && p.tunnel.Acknowledged()
-	default:
-		return true
-	}
+	tunnel, relayed := c.Conn.(*linker.Tunnel)
+	return !relayed || c.relayer.Lost() && c.relayer.config.ReusesRelayed() && tunnel.Acknowledged()
 }
 
-// AwaitAcknowledged waits, once Read has returned io.EOF, until the target has acknowledged all
-// bytes written. It returns an error if it will not, or if that cannot be known.
-func (c *connection) AwaitAcknowledged() error {
-	switch p := c.path.(type) {
-	case *relayedPath:
-		return p.tunnel.AwaitAcknowledged()
-	case *directPath:
-		return inspector.AwaitAcknowledged(p.socket)
-	default:
-		return nil
-	}
-}
+// AwaitAcknowledged implements inspector.Acknowledger.
+func (c *connection) AwaitAcknowledged() error { return inspector.AwaitAcknowledged(c.Conn) }
 
 // carriedConnection is a connection that this router has opened for another one.
 type carriedConnection struct {
--- a/internal/relayer/dial.go
+++ b/internal/relayer/dial.go
@@ -49,7 +49,7 @@
 	}
 	socket, err := r.dialDirect(ctx, address)
 	if err == nil {
-		return &connection{Conn: socket, path: &directPath{socket}, relayer: r}, nil
+		return &connection{Conn: socket, relayer: r}, nil
 	}
 	if ctx.Err() == nil && r.pathLost(ctx) {
 		return r.dialRelayed(ctx, address)
@@ -125,7 +125,7 @@
 		tunnel, err = r.openThrough(ctx, relay, address)
 		if err == nil {
 			r.opened.Inc(1)
-			return &connection{Conn: tunnel, path: &relayedPath{tunnel}, relayer: r}, nil
+			return &connection{Conn: tunnel, relayer: r}, nil
 		}
 		var unreachable *unreachableError
 		if errors.As(err, &unreachable) || ctx.Err() != nil {
