inspector: one way to the connection that others wrap

The exchanger and the relay kept a socket beside the connection that counts its bytes, and carried connections passed three questions on to it by methods of an interface of their own. Wrappers say what they wrap now (NetConn, as in crypto/tls), the inspector looks beneath them, and the handler of tunnels returns a net.Conn again.

--- a/internal/bytecounter/bytecounter.go
+++ b/internal/bytecounter/bytecounter.go
@@ -33,6 +33,9 @@
 	counter *ByteCounter
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.counter.received.Add(int64(n))
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -67,8 +67,7 @@
 
 // connection is one connection to a target.
 type connection struct {
-	net.Conn           // counts its bytes
-	socket    net.Conn // beneath it
+	net.Conn
 	limiter   *headLimiter
 	reader    *bufio.Reader
 	mayReuse  func() bool
@@ -173,7 +172,7 @@
 // was to the writer of the request, the body seems to end in an orderly way. It waits as long as
 // the target may still get the rest, at most until the context of the request ends.
 func (r *Response) awaitDelivered() bool {
-	return <-r.written == nil && inspector.AwaitAcknowledged(r.connection.socket) == nil
+	return <-r.written == nil && inspector.AwaitAcknowledged(r.connection.Conn) == nil
 }
 
 // Close releases the response. The connection returns to the pool if it can be reused,
--- a/internal/exchanger/pool.go
+++ b/internal/exchanger/pool.go
@@ -33,12 +33,9 @@
 	if r, ok := socket.(reusable); ok {
 		mayReuse = r.Reusable
 	}
-	counted := e.byteCounter.WrapConnection(socket)
-	limiter := &headLimiter{source: counted}
-	return &connection{
-		Conn: counted, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
-		socket: socket, mayReuse: mayReuse, address: r.Address,
-	}, nil
+	socket = e.byteCounter.WrapConnection(socket)
+	limiter := &headLimiter{source: socket}
+	return &connection{Conn: socket, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), mayReuse: mayReuse, address: r.Address}, nil
 }
 
 // takeIdle removes an idle connection from the pool and returns it, or nil.
--- a/internal/relayer/connection.go
+++ b/internal/relayer/connection.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"radishshed.example/radishshed/pkg/transport/inspector"
 	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
@@ -32,30 +31,18 @@
 	return !relayed || c.relayer.Lost() && c.relayer.config.ReusesRelayed() && tunnel.Acknowledged()
 }
 
-// AwaitAcknowledged implements inspector.Acknowledger.
-func (c *connection) AwaitAcknowledged() error { return inspector.AwaitAcknowledged(c.Conn) }
+// NetConn returns the socket or the tunnel.
+func (c *connection) NetConn() net.Conn { return c.Conn }
 
 // carriedConnection is a connection that this router has opened for another one.
 type carriedConnection struct {
 	net.Conn
-	socket  net.Conn // beneath Conn
 	relayer *Relayer
 	once    sync.Once
 }
 
-// Acknowledged implements linker.Destination.
-func (c *carriedConnection) Acknowledged() bool { return inspector.Acknowledged(c.socket) }
-
-// AwaitAcknowledged implements linker.Destination.
-func (c *carriedConnection) AwaitAcknowledged() error { return inspector.AwaitAcknowledged(c.socket) }
-
-// Abort implements linker.Destination.
-func (c *carriedConnection) Abort() {
-	if socket, ok := c.socket.(*net.TCPConn); ok {
-		_ = socket.SetLinger(0) // fails only if the connection has been closed
-	}
-	_ = c.Close() // as above
-}
+// NetConn returns the connection beneath.
+func (c *carriedConnection) NetConn() net.Conn { return c.Conn }
 
 // Close closes the connection and makes room for another one.
 func (c *carriedConnection) Close() error {
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"syscall"
 
 	"github.com/pkg/errors"
 
 	"radishshed.example/radishshed/internal/recorder"
-	"radishshed.example/radishshed/pkg/transport/linker"
 )
 
 // Accept implements linker.TunnelHandler: it opens a direct connection for another router.
-func (r *Relayer) Accept(ctx context.Context, request []byte) ([]byte, linker.Destination) {
+func (r *Relayer) Accept(ctx context.Context, request []byte) ([]byte, net.Conn) {
 	destination, outcome := r.open(ctx, request)
 	data, err := encodeReply(reply{outcome, r.load()})
 	if err != nil {
@@ -27,7 +27,7 @@
 }
 
 // open returns nil unless the outcome is accepted.
-func (r *Relayer) open(ctx context.Context, request []byte) (linker.Destination, outcome) {
+func (r *Relayer) open(ctx context.Context, request []byte) (net.Conn, outcome) {
 	address, err := decodeRequest(request)
 	switch {
 	case err != nil || !slices.Contains(r.config.Targets(), address):
@@ -47,5 +47,5 @@
 		return nil, targetUnreachable
 	}
 	r.carried.Inc(1)
-	return &carriedConnection{Conn: r.config.WrapCarried(socket), socket: socket, relayer: r}, accepted
+	return &carriedConnection{Conn: r.config.WrapCarried(socket), relayer: r}, accepted
 }
--- a/pkg/transport/inspector/inspector.go
+++ b/pkg/transport/inspector/inspector.go
@@ -27,10 +27,24 @@
 	acknowledged bool // whether the peer has acknowledged all bytes that were written
 }
 
+// wrapper is implemented by connections that wrap another one, as in crypto/tls.
+type wrapper interface{ NetConn() net.Conn }
+
+// Beneath returns the connection that others wrap, or c if it wraps none.
+func Beneath(c net.Conn) net.Conn {
+	for {
+		w, ok := c.(wrapper)
+		if !ok {
+			return c
+		}
+		c = w.NetConn()
+	}
+}
+
 // Acknowledged reports whether the peer has acknowledged all bytes that were written, and has not
 // reset the connection. It returns true for a connection of which the kernel does not tell.
 func Acknowledged(c net.Conn) bool {
-	s, err := inspect(c)
+	s, err := inspect(Beneath(c))
 	return err == nil && s.acknowledged && !s.reset
 }
 
@@ -47,6 +61,7 @@
 // meanwhile. It asks an Acknowledger, and otherwise the kernel. It returns nil at once for a
 // connection of which the kernel does not tell.
 func AwaitAcknowledged(c net.Conn) error {
+	c = Beneath(c)
 	if a, ok := c.(Acknowledger); ok {
 		return a.AwaitAcknowledged()
 	}
--- a/pkg/transport/linker/carrier.go
+++ b/pkg/transport/linker/carrier.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"radishshed.example/radishshed/pkg/transport/inspector"
 )
 
 // errPeerLeft means that the other end of a tunnel has ended it.
@@ -24,7 +27,7 @@
 // acknowledged all of them: a response may end with its connection.
 type carrier struct {
 	socket      *websocket.Conn
-	destination Destination
+	destination net.Conn
 	// silenceTimeout is how long the peer may send nothing once it knows that the destination has
 	// ended: it may have left unnoticed.
 	silenceTimeout time.Duration
@@ -38,7 +41,7 @@
 	responseErr   error
 }
 
-func newCarrier(socket *websocket.Conn, destination Destination, silenceTimeout time.Duration) *carrier {
+func newCarrier(socket *websocket.Conn, destination net.Conn, silenceTimeout time.Duration) *carrier {
 	c := &carrier{socket: socket, destination: destination, silenceTimeout: silenceTimeout, queue: forwardQueue{reports: socket.Subprotocol() == reportingProtocol}}
 	c.changed = sync.NewCond(&c.mutex)
 	return c
@@ -71,11 +74,11 @@
 	}
 	c.changed.Broadcast()
 	c.mutex.Unlock()
-	if isWritten && c.destination.Acknowledged() {
-		_ = c.destination.Close() // nothing is lost
-		return
+	delivered := isWritten && inspector.Acknowledged(c.destination)
+	if socket, ok := inspector.Beneath(c.destination).(*net.TCPConn); ok && !delivered {
+		_ = socket.SetLinger(0) // so that the kernel discards it; fails only on a closed connection
 	}
-	c.destination.Abort()
+	_ = c.destination.Close() // as above
 }
 
 // endIfUnused ends the way to the destination if the peer has sent nothing.
@@ -233,7 +236,7 @@
 		if err != nil {
 			return err
 		}
-		if err := c.destination.AwaitAcknowledged(); err != nil {
+		if err := inspector.AwaitAcknowledged(c.destination); err != nil {
 			return err
 		}
 		if !c.queue.reports {
--- a/pkg/transport/linker/tunnel.go
+++ b/pkg/transport/linker/tunnel.go
@@ -34,21 +34,9 @@
 	acceptTunnelPurpose = "acceptTunnel"
 )
 
-// Destination is a connection that was opened for a tunnel.
-type Destination interface {
-	net.Conn
-	// Acknowledged reports whether the destination has acknowledged all bytes written.
-	Acknowledged() bool
-	// AwaitAcknowledged waits until the destination has acknowledged all bytes written. It
-	// returns an error if the destination resets the connection, or this end closes it.
-	AwaitAcknowledged() error
-	// Abort closes the connection and discards what the destination has not acknowledged.
-	Abort()
-}
-
 // TunnelHandler handles the request for a tunnel. It returns its reply and the connection to
 // which the tunnel leads, or nil if it refuses.
-type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination Destination)
+type TunnelHandler func(ctx context.Context, request []byte) (reply []byte, destination net.Conn)
 
 // Tunnels accepts tunnels from other processes. A tunnel is a WebSocket connection that
 // carries the bytes of one connection which this process opens for its peer. Both ends prove
@@ -89,7 +77,7 @@
 }
 
 // open reads the request for a tunnel, opens the connection to its destination, and replies.
-func (t *Tunnels) open(socket *websocket.Conn) (Destination, error) {
+func (t *Tunnels) open(socket *websocket.Conn) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(t.endpoint.ctx, handshakeTimeout)
 	defer cancel()
 	socket.SetReadLimit(maxTunnelRequest)
--- a/pkg/transport/linker/tunnel_test.go
+++ b/pkg/transport/linker/tunnel_test.go
@@ -25,16 +25,6 @@
 	noticeTimeout = 500 * time.Millisecond
 )
 
-// tcpDestination is a direct connection to a destination.
-type tcpDestination struct{ *net.TCPConn }
-
-func (d *tcpDestination) Acknowledged() bool       { return inspector.Acknowledged(d.TCPConn) }
-func (d *tcpDestination) AwaitAcknowledged() error { return inspector.AwaitAcknowledged(d.TCPConn) }
-func (d *tcpDestination) Abort() {
-	_ = d.SetLinger(0) // fails only if the connection has been closed
-	_ = d.Close()      // as above
-}
-
 func newTestEndpoint(t *testing.T) *Endpoint {
 	t.Helper()
 	e, err := New(Config{
@@ -84,12 +74,12 @@
 
 func newRelayOf(t *testing.T, e *Endpoint, destination string) string {
 	t.Helper()
-	return serve(t, NewTunnels(e, func(ctx context.Context, _ []byte) ([]byte, Destination) {
+	return serve(t, NewTunnels(e, func(ctx context.Context, _ []byte) ([]byte, net.Conn) {
 		c, err := dialDestination(ctx, destination)
 		if err != nil {
 			return []byte("refused"), nil
 		}
-		return []byte("accepted"), &tcpDestination{c}
+		return []byte("accepted"), c
 	}))
 }
 
--- a/pkg/transport/linker/tunnelend.go
+++ b/pkg/transport/linker/tunnelend.go
@@ -188,7 +188,7 @@
 // Close ends the tunnel at once, without waiting for the peer.
 func (t *Tunnel) Close() error {
 	t.mutex.Lock()
-	if t.err == nil || !errors.Is(t.err, net.ErrClosed) {
+	if !errors.Is(t.err, net.ErrClosed) {
 		t.logEnd()
 		t.err = errors.WithStack(net.ErrClosed)
 	}
