forwarder: a request that is written completes once

Bytes written behind a whole request would have closed a channel twice, which ends the process. No such write is known: net/http announces each request. Found by reading the diff; tests of forwarder and relayer pass.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -37,6 +37,7 @@
 	bodyBytes int
 	head      []byte // what was written of the head
 	headEnded bool
+	complete  sync.Once
 	written   chan struct{} // closed once the whole request has been written
 }
 
@@ -58,7 +59,7 @@
 	}
 	e.bodyBytes -= len(data)
 	if e.bodyBytes <= 0 {
-		close(e.written)
+		e.complete.Do(func() { close(e.written) })
 	}
 }
 
