--- a/internal/relayer/delivery_test.go
+++ b/internal/relayer/delivery_test.go
@@ -43,35 +43,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	target := &narrowTarget{listener, handle}
-	t.Cleanup(func() { _ = listener.Close() }) // the test is over
-	go target.run()
-	return listener.Addr().String()
-}
-
-// narrowTarget is a target whose requests the test handles itself.
-type narrowTarget struct {
-	listener net.Listener
-	handle   func(net.Conn, *http.Request)
-}
-
-func (n *narrowTarget) run() {
-	for {
-		c, err := n.listener.Accept()
+	serveConnections(t, listener, func(c net.Conn) {
+		defer func() { _ = c.Close() }() // the handler has said how it ends
+		request, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
 		if err != nil {
-			return
+			return // a probe
 		}
-		go n.runConnection(c)
-	}
-}
-
-func (n *narrowTarget) runConnection(c net.Conn) {
-	defer func() { _ = c.Close() }() // the handler has said how it ends
-	request, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-	if err != nil {
-		return // a probe
-	}
-	n.handle(c, request)
+		handle(c, request)
+	})
+	return listener.Addr().String()
 }
 
 // respondFramed sends a response that does not end with its connection.
@@ -244,7 +224,11 @@
 // newSlowLink returns a server that passes all bytes on to another one, slowly.
 func newSlowLink(t *testing.T, to *httptest.Server) *httptest.Server {
 	t.Helper()
-	address := newRawListener(t, func(near net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	serveConnections(t, listener, func(near net.Conn) {
 		far, err := net.Dial("tcp", to.Listener.Addr().String())
 		if err != nil {
 			return
@@ -252,7 +236,7 @@
 		go copySlowly(far, near)
 		copySlowly(near, far)
 	})
-	return &httptest.Server{URL: "http://" + address}
+	return &httptest.Server{URL: "http://" + listener.Addr().String()}
 }
 
 // copySlowly copies bytes and then ends both connections.
@@ -272,26 +256,6 @@
 	}
 }
 
-// newRawListener returns the address of a listener whose connections the test handles.
-func newRawListener(t *testing.T, handle func(net.Conn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() }) // the test is over
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go handle(c)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // exchange sends a request with a body of the given length and returns the body of the response.
 func (r *router) exchange(address string, length int) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -95,23 +95,27 @@
 		t.Fatal(err)
 	}
 	target := &rawTarget{listener: listener, handle: handle}
-	t.Cleanup(func() { _ = listener.Close() }) // the test is over
-	go target.run()
+	serveConnections(t, listener, target.runConnection)
 	return target
 }
 
-func (r *rawTarget) address() string { return r.listener.Addr().String() }
-
-func (r *rawTarget) run() {
-	for {
-		c, err := r.listener.Accept()
-		if err != nil {
-			return
+// serveConnections hands each connection of the listener over until the test ends.
+func serveConnections(t *testing.T, listener net.Listener, handle func(net.Conn)) {
+	t.Helper()
+	t.Cleanup(func() { _ = listener.Close() }) // the test is over
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
 		}
-		go r.runConnection(c)
-	}
+	}()
 }
 
+func (r *rawTarget) address() string { return r.listener.Addr().String() }
+
 func (r *rawTarget) runConnection(c net.Conn) {
 	buffer := make([]byte, 4096)
 	if n, err := c.Read(buffer); err != nil || n == 0 {
--- a/pkg/transport/linker/tunnel_test.go
+++ b/pkg/transport/linker/tunnel_test.go
@@ -312,45 +312,35 @@
 }
 
 // Guards against a planned stop that waits for ever for a tunnel whose other end has left unnoticed,
-// after the destination has ended.
-func TestDestinationThatHasEndedIsLetGoThoughThePeerIsSilent(t *testing.T) {
-	left := make(chan bool, 1)
-	destination := newDestination(t, func(c *net.TCPConn) {
-		_ = c.CloseWrite() // ends in an orderly way
-		_ = c.SetReadDeadline(time.Now().Add(tunnelTestTimeout))
-		_, err := c.Read(make([]byte, 1))
-		left <- errors.Is(err, io.EOF)
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), tunnelTestTimeout)
-	defer cancel()
-	tunnel, _, err := newTestEndpoint(t).OpenTunnel(ctx, newRelay(t, destination), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = tunnel.Close() }() // not before the destination has been let go
-	if !<-left {
-		t.Error("the connection to the destination is still open")
-	}
-}
-
-// Guards against a planned stop that waits for ever for a tunnel whose other end has left unnoticed
-// before it sent anything.
-func TestTunnelThatIsNotUsedIsLetGo(t *testing.T) {
-	left := make(chan bool, 1)
-	destination := newDestination(t, func(c *net.TCPConn) {
-		_ = c.SetReadDeadline(time.Now().Add(tunnelTestTimeout))
-		_, err := c.Read(make([]byte, 1))
-		left <- errors.Is(err, io.EOF)
-	})
-	ctx, cancel := context.WithTimeout(context.Background(), tunnelTestTimeout)
-	defer cancel()
-	tunnel, _, err := newTestEndpoint(t).OpenTunnel(ctx, newRelay(t, destination), nil)
-	if err != nil {
-		t.Fatal(err)
+// before it sent anything or after the destination has ended.
+func TestDestinationIsLetGoThoughThePeerIsSilent(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(*net.TCPConn)
+	}{
+		{"the destination has ended", func(c *net.TCPConn) { _ = c.CloseWrite() }},
+		{"nothing was sent", func(*net.TCPConn) {}},
 	}
-	defer func() { _ = tunnel.Close() }() // not before the destination has been let go
-	if !<-left {
-		t.Error("the connection to the destination is still open")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			left := make(chan bool, 1)
+			destination := newDestination(t, func(socket *net.TCPConn) {
+				c.act(socket)
+				_ = socket.SetReadDeadline(time.Now().Add(tunnelTestTimeout))
+				_, err := socket.Read(make([]byte, 1))
+				left <- errors.Is(err, io.EOF)
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), tunnelTestTimeout)
+			defer cancel()
+			tunnel, _, err := newTestEndpoint(t).OpenTunnel(ctx, newRelay(t, destination), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = tunnel.Close() }() // not before the destination has been let go
+			if !<-left {
+				t.Error("the connection to the destination is still open")
+			}
+		})
 	}
 }
 
